--- a/internal/ticket/apply.go
+++ b/internal/ticket/apply.go
@@ -2,18 +2,30 @@
 
 import "maps"
 
-// Fault is one thing wrong with a ticket, in words an operator can act on.
-type Fault struct {
-	Object  string // for example class/stage-updates
-	Field   string
-	Problem string
-	Remedy  string
-}
-
 // Apply returns the configuration after t, one revision later, or every fault
-// of t. It never changes s. The number of t is checked by the caller, who
-// keeps the verdicts.
+// of t in a fixed order. It never changes s. The number of t is checked by
+// Book, which keeps the verdicts.
 func Apply(s *State, t *Ticket) (*State, []Fault) {
+	next := Replay(s, t)
+	c := &checker{before: s, after: next, ticket: t}
+	c.checkTicket()
+	c.checkNames()
+	c.checkClasses()
+	c.checkWorkspaces()
+	c.checkModelsAndServices()
+	c.checkGroups()
+	c.checkLimits()
+	c.checkReach()
+	c.checkStranding()
+	if len(c.faults) > 0 {
+		return nil, c.sorted()
+	}
+	return next, nil
+}
+
+// Replay returns the configuration after a ticket that was accepted before,
+// without checking it again. It never changes s.
+func Replay(s *State, t *Ticket) *State {
 	next := s.clone()
 	next.Revision = s.Revision + 1
 	next.LastNumber = t.Number
@@ -26,7 +38,7 @@
 	for _, r := range t.Removals {
 		next.remove(r)
 	}
-	return next, nil
+	return next
 }
 
 func put[V any](into map[string]V, values []V, name func(V) string) {
@@ -62,3 +74,36 @@
 		delete(s.Limits, r.Name)
 	}
 }
+
+// has reports whether the object is part of the configuration.
+func (s *State) has(kind Kind, name string) bool {
+	_, found := s.names(kind)[name]
+	return found
+}
+
+// names returns the names of all objects of one kind.
+func (s *State) names(kind Kind) map[string]struct{} {
+	switch kind {
+	case KindClass:
+		return keys(s.Classes)
+	case KindWorkspace:
+		return keys(s.Workspaces)
+	case KindModel:
+		return keys(s.Models)
+	case KindService:
+		return keys(s.Services)
+	case KindEndpointGroup:
+		return keys(s.EndpointGroups)
+	case KindLimit:
+		return keys(s.Limits)
+	}
+	return nil
+}
+
+func keys[V any](m map[string]V) map[string]struct{} {
+	set := make(map[string]struct{}, len(m))
+	for k := range m {
+		set[k] = struct{}{}
+	}
+	return set
+}
--- a/internal/ticket/codec.go
+++ b/internal/ticket/codec.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 )
 
@@ -24,38 +24,27 @@
 	return text
 }
 
-// UnmarshalText reads a duration such as "490ms"; a bare number is refused.
+// unreadableDuration stands for a text that is no length of time, so that the
+// rules can report it together with every other fault.
+const unreadableDuration = Duration(math.MinInt64)
+
+// UnmarshalText reads a duration such as "490ms". A text without a unit or
+// otherwise unreadable becomes a value that Apply reports as a fault.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return &DecodeError{Problems: []string{"duration " + string(text) + " needs a unit, for example 490ms"}}
+	if err != nil || string(text) == "0" {
+		*d = unreadableDuration
+		return nil
 	}
 	*d = Duration(v)
 	return nil
 }
 
 // MarshalText writes the duration with its unit.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
-// DecodeTOML reads a ticket as an operator writes it. Every unknown key is
-// reported in one *DecodeError.
-func DecodeTOML(text []byte) (*Ticket, error) {
-	t := &Ticket{}
-	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(t)
-	if err != nil {
-		return nil, errors.WithStack(&DecodeError{Problems: []string{err.Error()}})
-	}
-	var problems []string
-	for _, key := range meta.Undecoded() {
-		problems = append(problems, "unknown key "+key.String())
-	}
-	if len(problems) > 0 {
-		return nil, errors.WithStack(&DecodeError{Problems: problems})
-	}
-	return t, nil
-}
+// String writes the duration with its unit.
+func (d Duration) String() string { return time.Duration(d).String() }
 
 // Encode writes the ticket in its canonical form for the wire and the log.
 func Encode(t *Ticket) ([]byte, error) { return json.Marshal(t) }
@@ -87,5 +76,8 @@
 	if err := dec.Decode(v); err != nil {
 		return errors.WithStack(&DecodeError{Problems: []string{err.Error()}})
 	}
+	if dec.More() {
+		return errors.WithStack(&DecodeError{Problems: []string{"more data follows"}})
+	}
 	return nil
 }
--- a/internal/ticket/object.go
+++ b/internal/ticket/object.go
@@ -34,8 +34,8 @@
 type Workspace struct {
 	Name string `toml:"name" json:"name"`
 	// KeyHashes are lower-case hex SHA-256 hashes of bearer keys.
-	KeyHashes    []string `toml:"key_hashes" json:"key_hashes"`
-	Classes      []string `toml:"classes" json:"classes"`
+	KeyHashes    []string `toml:"key_hashes" json:"key_hashes,omitempty"`
+	Classes      []string `toml:"classes" json:"classes,omitempty"`
 	DefaultClass string   `toml:"default_class" json:"default_class"`
 	// Limit names the limit object that bounds this workspace, "" for none.
 	Limit string `toml:"limit" json:"limit"`
@@ -63,18 +63,18 @@
 // that announce themselves under this name serve.
 type EndpointGroup struct {
 	Name       string   `toml:"name" json:"name"`
-	Workspaces []string `toml:"workspaces" json:"workspaces"` // "*" alone means all
-	Models     []string `toml:"models" json:"models"`
-	Services   []string `toml:"services" json:"services"`
+	Workspaces []string `toml:"workspaces" json:"workspaces,omitempty"` // "*" alone means all
+	Models     []string `toml:"models" json:"models,omitempty"`
+	Services   []string `toml:"services" json:"services,omitempty"`
 }
 
 // Limit bounds the use of a workspace across all routers; 0 is refused and
 // a field left out means unbounded.
 type Limit struct {
 	Name              string `toml:"name" json:"name"`
-	RequestsPerSecond int    `toml:"requests_per_second" json:"requests_per_second"`
-	Concurrency       int    `toml:"concurrency" json:"concurrency"`
-	TokensPerSecond   int    `toml:"tokens_per_second" json:"tokens_per_second"`
+	RequestsPerSecond int    `toml:"requests_per_second" json:"requests_per_second,omitempty"`
+	Concurrency       int    `toml:"concurrency" json:"concurrency,omitempty"`
+	TokensPerSecond   int    `toml:"tokens_per_second" json:"tokens_per_second,omitempty"`
 }
 
 // Kind names a kind of object.
