--- /dev/null
+++ b/internal/standin/rapid_test.go
@@ -0,0 +1,5 @@
+package standin_test
+
+import "flag"
+
+func init() { _ = flag.Set("rapid.seed", "20261203") }
