Add the agent's queue and the choice of an endpoint

Cause: the shells of router and agent need the decisions behind a stable interface. Change: flow.Queue orders strictly by tier, by requests that can still meet their target, by deficit round robin and by earliest deadline, with bounds, patience and fixed slots; routing.Table filters, scores and picks the better of two, with ejection and a retry budget. Before and after: nothing existed; both packages pass their first tables under the race detector.

--- /dev/null
+++ b/internal/flow/estimate.go
@@ -0,0 +1,68 @@
+package flow
+
+import "time"
+
+// Weights of the moving estimates.
+const (
+	meanWeight   = 8  // one observation moves a mean by 1/8 of its distance
+	quantileStep = 16 // a quantile moves by 1/16 of itself
+	lowQuantile  = 10 // 1 in 10 answers is shorter than the shortest expected
+)
+
+// mean is an exponentially weighted mean; 0 until the first observation.
+type mean struct{ value time.Duration }
+
+func (m *mean) add(d time.Duration) {
+	if m.value == 0 {
+		m.value = d
+		return
+	}
+	m.value += (d - m.value) / meanWeight
+}
+
+// classEstimate is what was observed of one class.
+type classEstimate struct {
+	service    mean
+	firstToken mean
+	shortest   time.Duration // a low quantile of the service time
+}
+
+func (c *classEstimate) observe(took time.Duration) {
+	c.service.add(took)
+	if c.shortest == 0 {
+		c.shortest = took
+		return
+	}
+	step := c.shortest/quantileStep + 1
+	if took < c.shortest {
+		c.shortest -= step * (lowQuantile - 1) / lowQuantile
+		return
+	}
+	c.shortest += step / lowQuantile
+}
+
+func (q *Queue) class(name string) *classEstimate {
+	c := q.classes[name]
+	if c == nil {
+		c = &classEstimate{}
+		q.classes[name] = c
+	}
+	return c
+}
+
+// expectedFirstToken is the expected time from start to first token.
+func (q *Queue) expectedFirstToken(class string) time.Duration {
+	if c := q.classes[class]; c != nil && c.firstToken.value > 0 {
+		return c.firstToken.value
+	}
+	return q.firstToken.value
+}
+
+// shortest is the time that an answer of the class takes at least, going by
+// nine in ten of those observed; 0 if none was.
+func (q *Queue) shortest(class string) time.Duration {
+	if c := q.classes[class]; c != nil {
+		return c.shortest
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/flow/tier.go
@@ -0,0 +1,106 @@
+package flow
+
+import "time"
+
+// tier holds the waiting requests of one tier.
+type tier struct {
+	onTime, late *fair
+	expiry       heap
+	target       heap // of the requests on time that have a target
+	running      int
+}
+
+func newTier() *tier {
+	return &tier{
+		onTime: newFair(), late: newFair(),
+		expiry: heap{kind: byExpiry}, target: heap{kind: byTarget},
+	}
+}
+
+func (t *tier) waiting() int { return t.onTime.count + t.late.count }
+
+// add puts a request in line. firstToken is the expected time from its start
+// to its first token.
+func (t *tier) add(now time.Time, it *item, firstToken time.Duration) {
+	for kind := range it.index {
+		it.index[kind] = -1
+	}
+	it.key[byExpiry] = it.StartBy.UnixNano()
+	t.expiry.push(it)
+	if it.FirstTokenTarget <= 0 {
+		it.late = false
+		it.key[byOrder] = it.StartBy.UnixNano()
+		t.onTime.add(it)
+		return
+	}
+	startBy := it.Arrived.Add(it.FirstTokenTarget - firstToken)
+	it.key[byTarget] = startBy.UnixNano()
+	it.late = !startBy.After(now)
+	if it.late {
+		it.key[byOrder] = it.StartBy.UnixNano()
+		t.late.add(it)
+		return
+	}
+	it.key[byOrder] = startBy.UnixNano()
+	t.onTime.add(it)
+	t.target.push(it)
+}
+
+func (t *tier) remove(it *item) {
+	t.expiry.remove(it)
+	t.target.remove(it)
+	if it.late {
+		t.late.remove(it)
+		return
+	}
+	t.onTime.remove(it)
+}
+
+// age moves the requests that can no longer meet their target to the late ones.
+func (t *tier) age(now time.Time) {
+	for {
+		it := t.target.head()
+		if it == nil || it.key[byTarget] > now.UnixNano() {
+			return
+		}
+		t.target.remove(it)
+		t.onTime.remove(it)
+		it.late = true
+		it.key[byOrder] = it.StartBy.UnixNano()
+		t.late.add(it)
+	}
+}
+
+// take removes the request that is to start next; nil if none waits.
+func (t *tier) take() *item {
+	from := t.onTime
+	if from.count == 0 {
+		from = t.late
+	}
+	if from.count == 0 {
+		return nil
+	}
+	it := from.take()
+	t.expiry.remove(it)
+	t.target.remove(it)
+	return it
+}
+
+// victim returns the request to shed first.
+func (t *tier) victim() *item {
+	if it := t.late.victim(); it != nil {
+		return it
+	}
+	return t.onTime.victim()
+}
+
+// oldest returns the earliest arrival among the waiting requests.
+func (t *tier) oldest() (time.Time, bool) {
+	var first time.Time
+	for _, it := range t.expiry.items {
+		if first.IsZero() || it.Arrived.Before(first) {
+			first = it.Arrived
+		}
+	}
+	return first, !first.IsZero()
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+const engine = pb.EndpointKind_ENDPOINT_KIND_ENGINE
+
+// settings serve model m to every workspace from group g, and model p to
+// workspace w alone from group private.
+func settings() *ticket.State {
+	s := ticket.NewState()
+	s.EndpointGroups["g"] = ticket.EndpointGroup{Name: "g", Workspaces: []string{"*"}, Models: []string{"m"}}
+	s.EndpointGroups["private"] = ticket.EndpointGroup{Name: "private", Workspaces: []string{"w"}, Models: []string{"p"}}
+	return s
+}
+
+// engines are n endpoints of group g, in three failure domains in turn.
+func engines(n int) []*pb.Endpoint {
+	var list []*pb.Endpoint
+	for i := range n {
+		list = append(list, &pb.Endpoint{
+			Name: fmt.Sprintf("e%03d", i), Incarnation: 1, Group: "g", Kind: engine,
+			FailureDomain: fmt.Sprintf("d%d", i%3), State: pb.EndpointState_ENDPOINT_STATE_ACTIVE,
+			Models: []string{"m"},
+		})
+	}
+	return list
+}
+
+func newTable(endpoints []*pb.Endpoint) *Table {
+	t := New(Config{FailureDomain: "d0"})
+	t.Update(epoch, endpoints, settings())
+	return t
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+var _ = Describe("Choose", func() {
+	It("keeps to what serves, stays and is untried", func() {
+		list := engines(4)
+		list[1].State = pb.EndpointState_ENDPOINT_STATE_DRAINING
+		list[2].Models = nil
+		t := newTable(list)
+		r := Request{Workspace: "w", Target: "m", Kind: engine, Tier: 1, Tried: []string{"e000"}}
+		d, err := t.Choose(epoch, r, seeded())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Endpoint.GetName()).To(Equal("e003"))
+		r.Tried = append(r.Tried, "e003")
+		_, err = t.Choose(epoch, r, seeded())
+		Expect(err).To(Equal(&NoEndpointError{Target: "m", Workspace: "w", Serving: 3, Tried: 2, Leaving: 1}))
+		_, err = t.Choose(epoch, Request{Workspace: "w", Target: "p", Kind: engine}, seeded())
+		Expect(err).To(Equal(&NoEndpointError{Target: "p", Workspace: "w"}))
+	})
+
+	It("ejects after failures in a row, tries again after the backoff, and keeps a floor", func() {
+		t := newTable(engines(2))
+		r := Request{Workspace: "w", Target: "m", Kind: engine, Tier: 1}
+		for _, name := range []string{"e000", "e001"} {
+			for range defaultFailuresToEject {
+				t.Started(epoch, name, 1)
+				t.Finished(epoch, name, 1, Failed)
+			}
+		}
+		d, err := t.Choose(epoch, r, seeded())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Endpoint.GetName()).To(Equal("e001"))
+		r.Tried = []string{"e001"}
+		d, err = t.Choose(epoch, r, seeded())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Reason).To(Equal(ReasonEjected))
+		d, _ = t.Choose(epoch.Add(defaultEjectFor), r, seeded())
+		Expect(d.Endpoint.GetName()).To(Equal("e000"))
+		t.Finished(epoch, "e000", 1, Succeeded)
+		Expect(t.endpoints["e000"].ejected).To(BeFalse())
+	})
+})
