--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,238 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/admin"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+// backend is an admin.Backend over a book in memory.
+type backend struct {
+	book    *ticket.Book
+	mu      sync.Mutex
+	changed chan struct{}
+	fail    error
+}
+
+func newBackend() *backend { return &backend{book: ticket.NewBook(), changed: make(chan struct{})} }
+
+func (b *backend) SubmitTicket(_ context.Context, encoded []byte) (ticket.Verdict, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fail != nil {
+		return ticket.Verdict{}, b.fail
+	}
+	v := b.book.Submit(encoded, 1)
+	close(b.changed)
+	b.changed = make(chan struct{})
+	return v, nil
+}
+
+func (b *backend) Book() *ticket.Book { return b.book }
+
+func (b *backend) Status(context.Context) (*pb.StatusResponse, error) {
+	return &pb.StatusResponse{Revision: b.book.State().Revision}, nil
+}
+
+func (b *backend) Drain(_ context.Context, endpoint string, _ bool) (pb.EndpointState, error) {
+	if endpoint != "engine-1" {
+		return 0, &admin.NotFoundError{Object: "endpoint " + endpoint}
+	}
+	return pb.EndpointState_ENDPOINT_STATE_DRAINING, nil
+}
+
+func (b *backend) AddHost(context.Context, uint64, string) error { return nil }
+
+func (b *backend) RemoveHost(context.Context, uint64) error { return nil }
+
+func (b *backend) Revisions(ctx context.Context, after uint64) (uint64, error) {
+	for {
+		b.mu.Lock()
+		changed := b.changed
+		revision := b.book.State().Revision
+		b.mu.Unlock()
+		if revision > after {
+			return revision, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// bearer adds a token to each request.
+type bearer struct{ token string }
+
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	if b.token != "" {
+		r.Header.Set("Authorization", b.token)
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// encodedTicket is an acceptable ticket.
+func encodedTicket(number uint64, author string) []byte {
+	encoded, err := ticket.Encode(&ticket.Ticket{
+		Number: number, Author: author,
+		Classes: []ticket.Class{{Name: "counter", Tier: 1, FirstTokenTarget: 490e6, Patience: 4e9, Deadline: 30e9}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
+var _ = Describe("AdminService", func() {
+	var (
+		back *backend
+		logs *bytes.Buffer
+		url  string
+	)
+	BeforeEach(func() {
+		back, logs = newBackend(), &bytes.Buffer{}
+		auth := admin.Auth{Tokens: []admin.Token{
+			{Name: "clerk", Hash: hash("read-token"), Roles: []admin.Role{admin.RoleRead}},
+			{Name: "desk", Hash: hash("submit-token"), Roles: []admin.Role{admin.RoleSubmit}},
+			{Name: "night", Hash: hash("drain-token"), Roles: []admin.Role{admin.RoleDrain}},
+		}}
+		Expect(auth.Validate()).To(BeEmpty())
+		path, handler := admin.NewHandler(back, auth, slog.New(slog.NewJSONHandler(logs, nil)))
+		mux := http.NewServeMux()
+		mux.Handle(path, handler)
+		server := httptest.NewServer(mux)
+		DeferCleanup(server.Close)
+		url = server.URL
+	})
+	client := func(token string) trefoilkeelv1connect.AdminServiceClient {
+		return trefoilkeelv1connect.NewAdminServiceClient(&http.Client{Transport: bearer{token: token}}, url)
+	}
+
+	DescribeTable("lets each role do its calls and no others",
+		func(token string, read, submit, drain connect.Code) {
+			ctx, c := context.Background(), client(token)
+			_, err := c.ShowState(ctx, connect.NewRequest(&pb.ShowStateRequest{}))
+			Expect(codeOf(err)).To(Equal(read), "show")
+			_, err = c.CheckTicket(ctx, connect.NewRequest(&pb.CheckTicketRequest{}))
+			Expect(codeOf(err)).To(Equal(read), "check")
+			_, err = c.ListTickets(ctx, connect.NewRequest(&pb.ListTicketsRequest{}))
+			Expect(codeOf(err)).To(Equal(read), "list")
+			_, err = c.Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
+			Expect(codeOf(err)).To(Equal(read), "status")
+			_, err = c.SubmitTicket(ctx, connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encodedTicket(1, "")}))
+			Expect(codeOf(err)).To(Equal(submit), "submit")
+			_, err = c.Drain(ctx, connect.NewRequest(&pb.DrainRequest{Endpoint: "engine-1"}))
+			Expect(codeOf(err)).To(Equal(drain), "drain")
+			_, err = c.AddHost(ctx, connect.NewRequest(&pb.AddHostRequest{Id: 4}))
+			Expect(codeOf(err)).To(Equal(drain), "add host")
+			_, err = c.RemoveHost(ctx, connect.NewRequest(&pb.RemoveHostRequest{Id: 4}))
+			Expect(codeOf(err)).To(Equal(drain), "remove host")
+			wantRevision := uint64(0)
+			if submit == codeOK {
+				wantRevision = 1
+			}
+			Expect(back.book.State().Revision).To(Equal(wantRevision))
+			Expect(logs.String()).NotTo(ContainSubstring("-token"))
+		},
+		Entry("read", "Bearer read-token", codeOK, connect.CodePermissionDenied, connect.CodePermissionDenied),
+		Entry("submit", "Bearer submit-token", codeOK, codeOK, connect.CodePermissionDenied),
+		Entry("drain", "Bearer drain-token", codeOK, connect.CodePermissionDenied, codeOK),
+		Entry("no token", "", connect.CodeUnauthenticated, connect.CodeUnauthenticated, connect.CodeUnauthenticated),
+		Entry("unknown token", "Bearer other", connect.CodeUnauthenticated, connect.CodeUnauthenticated, connect.CodeUnauthenticated),
+		Entry("a hash for its token", "Bearer "+hash("submit-token"), connect.CodeUnauthenticated, connect.CodeUnauthenticated, connect.CodeUnauthenticated),
+		Entry("another scheme", "Basic submit-token", connect.CodeUnauthenticated, connect.CodeUnauthenticated, connect.CodeUnauthenticated),
+	)
+
+	It("signs a ticket with its caller, refuses another's name and logs the author", func() {
+		ctx, c := context.Background(), client("Bearer submit-token")
+		resp, err := c.SubmitTicket(ctx, connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encodedTicket(5, "somebody")}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Msg.GetVerdict()).To(Equal(pb.Verdict_VERDICT_REFUSED))
+		Expect(resp.Msg.GetFaults()[0].GetField()).To(Equal("author"))
+
+		for _, author := range []string{"", "desk"} { // one content, one verdict
+			resp, err = c.SubmitTicket(ctx, connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encodedTicket(5, author)}))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Msg.GetVerdict()).To(Equal(pb.Verdict_VERDICT_ACCEPTED))
+			Expect(resp.Msg.GetRepeated()).To(Equal(author != ""))
+		}
+		list, err := c.ListTickets(ctx, connect.NewRequest(&pb.ListTicketsRequest{}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list.Msg.GetTickets()).To(HaveLen(1))
+		Expect(list.Msg.GetTickets()[0].GetAuthor()).To(Equal("desk"))
+		Expect(logs.String()).To(ContainSubstring(`"author":"desk"`))
+		Expect(logs.String()).To(ContainSubstring(`"verdict":"VERDICT_ACCEPTED"`))
+	})
+
+	DescribeTable("tells a change that never happens from an open outcome",
+		func(failure error, want connect.Code) {
+			back.fail = failure
+			_, err := client("Bearer submit-token").SubmitTicket(context.Background(),
+				connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encodedTicket(1, "")}))
+			Expect(codeOf(err)).To(Equal(want))
+		},
+		Entry("never recorded", &replica.NotRecorded{Reason: "no leader"}, connect.CodeAborted),
+		Entry("timed out", context.DeadlineExceeded, connect.CodeDeadlineExceeded),
+		Entry("anything else", &admin.DeniedError{Reason: "lost"}, connect.CodeUnknown),
+	)
+
+	It("streams accepted tickets from a revision on", func() {
+		c := client("Bearer submit-token")
+		submit := func(number uint64) {
+			_, err := c.SubmitTicket(context.Background(), connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encodedTicket(number, "")}))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		submit(1)
+		submit(2)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		stream, err := c.Watch(ctx, connect.NewRequest(&pb.WatchRequest{AfterRevision: 1}))
+		Expect(err).NotTo(HaveOccurred())
+		for number := uint64(2); number < 5; number++ {
+			Expect(stream.Receive()).To(BeTrue())
+			Expect(stream.Msg().GetNumber()).To(Equal(number))
+			submit(number + 1)
+		}
+	})
+})
+
+// codeOK stands for a call without an error.
+const codeOK connect.Code = 0
+
+func codeOf(err error) connect.Code {
+	if err == nil {
+		return codeOK
+	}
+	return connect.CodeOf(err)
+}
+
+var _ = DescribeTable("Auth.Validate finds entries that can't be used",
+	func(token admin.Token, want string) {
+		problems := admin.Auth{Tokens: []admin.Token{token}}.Validate()
+		Expect(problems).To(ContainElement(MatchError(ContainSubstring(want))))
+	},
+	Entry("plain token", admin.Token{Name: "a", Hash: "secret", Roles: []admin.Role{admin.RoleRead}}, "hash is not"),
+	Entry("upper case", admin.Token{Name: "a", Hash: "AB" + hash("x")[2:], Roles: []admin.Role{admin.RoleRead}}, "hash is not"),
+	Entry("no role", admin.Token{Name: "a", Hash: hash("x")}, "no role"),
+	Entry("unknown role", admin.Token{Name: "a", Hash: hash("x"), Roles: []admin.Role{"root"}}, "unknown"),
+	Entry("no name", admin.Token{Hash: hash("x"), Roles: []admin.Role{admin.RoleRead}}, "name is missing"),
+)
