--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -8,21 +8,23 @@
 	maxRetryAfter = time.Minute
 )
 
-// settle expires what is due and starts what fits.
+// settle starts what fits, preempts for what cannot wait, and expires what is due.
 func (q *Queue) settle(now time.Time) {
+	q.fill(now)
+	q.rescue(now)
 	for tier := lowestTier; tier >= highestTier; tier-- {
 		q.tiers[tier].age(now)
 	}
 	q.expire(now)
+}
+
+// fill starts requests while there are slots.
+func (q *Queue) fill(now time.Time) {
 	for len(q.running) < q.limit.slots() {
 		it := q.pick(now)
 		if it == nil {
 			return
 		}
-		if q.hopeless(now, it) {
-			q.refuseTaken(it, DeadlineExceeded)
-			continue
-		}
 		q.start(now, it)
 	}
 }
@@ -32,22 +34,15 @@
 	for tier := lowestTier; tier >= highestTier; tier-- {
 		t := q.tiers[tier]
 		for it := t.expiry.head(); it != nil && it.key[byExpiry] <= now.UnixNano(); it = t.expiry.head() {
-			q.refuse(now, it, PatienceExceeded)
+			q.refuse(it, PatienceExceeded)
 		}
 	}
 }
 
 // shed brings the queue back under its bounds, lowest tier first.
-func (q *Queue) shed(now time.Time) {
+func (q *Queue) shed() {
 	for len(q.waiting) > q.config.MaxWaiting || q.waitingBytes > q.config.MaxWaitingBytes {
-		if len(q.running) < q.limit.slots() {
-			q.settle(now)
-			if len(q.running) < q.limit.slots() {
-				return
-			}
-			continue
-		}
-		q.refuse(now, q.victim(), Overloaded)
+		q.refuse(q.victim(), Overloaded)
 	}
 }
 
@@ -63,9 +58,35 @@
 
 // pick removes and returns the request that starts next; nil if none waits.
 func (q *Queue) pick(now time.Time) *item {
-	for tier := highestTier; tier <= lowestTier; tier++ {
-		if it := q.tiers[tier].take(); it != nil {
-			return it
+	if it := q.aged(now); it != nil {
+		q.sinceAged = 0
+		q.dequeue(it)
+		return it
+	}
+	q.sinceAged++
+	return q.strict(now, q.lowestWithRoom(now))
+}
+
+// lowestWithRoom is the lowest tier that may start a request now.
+func (q *Queue) lowestWithRoom(now time.Time) int {
+	lowest := highestTier
+	for lowest < lowestTier && len(q.running) < q.roomFor(now, lowest+1) {
+		lowest++
+	}
+	return lowest
+}
+
+// strict removes and returns the next request in the order of tiers, down to
+// the given one; nil if there is none. What cannot finish in time is refused.
+func (q *Queue) strict(now time.Time, lowest int) *item {
+	for tier := highestTier; tier <= lowest; tier++ {
+		for it := q.tiers[tier].take(); it != nil; it = q.tiers[tier].take() {
+			q.forget(it)
+			if !q.hopeless(now, it) {
+				return it
+			}
+			q.class(it.Class).doubt()
+			q.answer(it, DeadlineExceeded)
 		}
 	}
 	return nil
@@ -76,16 +97,16 @@
 	return !it.Deadline.IsZero() && now.Add(q.shortest(it.Class)).After(it.Deadline)
 }
 
-func (q *Queue) refuseTaken(it *item, reason Reason) {
-	q.forget(it)
-	if it.ran {
+// answer refuses a request that no longer waits.
+func (q *Queue) answer(it *item, reason Reason) {
+	if it.ran && reason != Draining {
 		reason = Preempted
 	}
 	q.do(Refuse{ID: it.ID, Reason: reason, RetryAfter: q.retryAfter(it.Tier), Ran: it.ran})
 }
 
 func (q *Queue) start(now time.Time, it *item) {
-	q.forget(it)
+	q.class(it.Class).lastStart = now
 	it.startedAt = now
 	it.tokenAt = time.Time{}
 	it.ran = true
--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -25,6 +25,7 @@
 	service    mean
 	firstToken mean
 	shortest   time.Duration // a low quantile of the service time
+	lastStart  time.Time
 }
 
 func (c *classEstimate) observe(took time.Duration) {
@@ -41,6 +42,10 @@
 	c.shortest += step / lowQuantile
 }
 
+// doubt lowers the shortest time after a refusal that rests on it, so that
+// requests get through again if the endpoint has become faster.
+func (c *classEstimate) doubt() { c.shortest -= c.shortest / quantileStep }
+
 func (q *Queue) class(name string) *classEstimate {
 	c := q.classes[name]
 	if c == nil {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -108,6 +108,9 @@
 	// MaxPreemptions bounds how often one request is preempted; negative
 	// turns preemption off.
 	MaxPreemptions int
+	// HeadroomPercent is the part of the concurrency lately needed by higher
+	// tiers that lower ones leave free; negative turns it off.
+	HeadroomPercent int
 }
 
 // Defaults of Config.
@@ -119,6 +122,7 @@
 	defaultMaxWaitBytes   = 64 << 20
 	defaultAgedOneIn      = 10
 	defaultMaxPreemptions = 1
+	defaultHeadroom       = -1
 )
 
 func (c Config) withDefaults() Config {
@@ -129,9 +133,13 @@
 	c.MaxWaitingBytes = orDefault(c.MaxWaitingBytes, defaultMaxWaitBytes)
 	c.AgedOneIn = orDefault(c.AgedOneIn, defaultAgedOneIn)
 	c.MaxPreemptions = orDefault(c.MaxPreemptions, defaultMaxPreemptions)
+	c.HeadroomPercent = orDefault(c.HeadroomPercent, defaultHeadroom)
 	return c
 }
 
+// headroom is HeadroomPercent as a factor.
+func (c Config) headroom() float64 { return float64(max(c.HeadroomPercent, 0)) / 100 }
+
 func orDefault(value, standard int) int {
 	if value == 0 {
 		return standard
--- a/internal/flow/heap.go
+++ b/internal/flow/heap.go
@@ -20,7 +20,6 @@
 	preemptions int
 	startedAt   time.Time
 	tokenAt     time.Time // of the last token, zero before the first
-	baseline    time.Duration
 }
 
 // heap is a binary heap of items, least key first. Equal keys go by ID, so
--- /dev/null
+++ b/internal/flow/preempt.go
@@ -0,0 +1,69 @@
+package flow
+
+import "time"
+
+// rescue preempts lower tiers for requests that are about to miss their
+// target or to pass their patience.
+func (q *Queue) rescue(now time.Time) {
+	if q.config.MaxPreemptions < 0 {
+		return
+	}
+	for tier := highestTier; tier < lowestTier; tier++ {
+		t := q.tiers[tier]
+		for due(t.target.head(), byTarget, now) || due(t.expiry.head(), byExpiry, now) {
+			if !q.preemptFor(now, tier) {
+				break
+			}
+		}
+	}
+}
+
+func due(it *item, kind int, now time.Time) bool {
+	return it != nil && it.key[kind] <= now.UnixNano()
+}
+
+// preemptFor frees one slot of a tier below the given one and starts the
+// request that is next; false if there is no such slot.
+func (q *Queue) preemptFor(now time.Time, tier int) bool {
+	it := q.preemptible(now, tier)
+	if it == nil {
+		return false
+	}
+	delete(q.running, it.ID)
+	q.tiers[it.Tier].running--
+	it.preemptions++
+	q.do(Preempt{ID: it.ID})
+	if next := q.strict(now, tier); next != nil {
+		q.start(now, next)
+	}
+	q.enqueue(now, it)
+	return true
+}
+
+// preemptible returns the running request to preempt first: of the lowest
+// tier below the given one, the one that started last; nil if there is none.
+func (q *Queue) preemptible(now time.Time, above int) *item {
+	var best *item
+	for _, it := range q.running {
+		if it.Tier <= above || !q.mayPreempt(now, it) {
+			continue
+		}
+		if best == nil || it.Tier > best.Tier || it.Tier == best.Tier && startedAfter(it, best) {
+			best = it
+		}
+	}
+	return best
+}
+
+func startedAfter(a, b *item) bool {
+	if !a.startedAt.Equal(b.startedAt) {
+		return a.startedAt.After(b.startedAt)
+	}
+	return a.ID < b.ID
+}
+
+// mayPreempt says that a running request can still be stopped and wait again.
+func (q *Queue) mayPreempt(now time.Time, it *item) bool {
+	return it.Preemptible && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
+		it.preemptions < q.config.MaxPreemptions && it.StartBy.After(now)
+}
--- a/internal/flow/queue.go
+++ b/internal/flow/queue.go
@@ -53,9 +53,10 @@
 	}
 	r.Tier = min(max(r.Tier, highestTier), lowestTier)
 	it := &item{Request: r}
+	q.limit.present(now, it)
 	q.enqueue(now, it)
-	q.shed(now)
 	q.settle(now)
+	q.shed()
 	return q.actions
 }
 
@@ -71,7 +72,7 @@
 	took := now.Sub(it.startedAt)
 	q.firstToken.add(took)
 	q.class(it.Class).firstToken.add(took)
-	q.limit.firstToken(now, it, took)
+	q.limit.firstToken(now, it, took, len(q.running))
 	q.settle(now)
 	return q.actions
 }
@@ -85,7 +86,7 @@
 	}
 	between := now.Sub(it.tokenAt) / time.Duration(n)
 	it.tokenAt = now
-	q.limit.token(now, it, between)
+	q.limit.token(now, between, len(q.running))
 	q.settle(now)
 	return q.actions
 }
@@ -103,7 +104,9 @@
 		took := now.Sub(it.startedAt)
 		q.service.add(took)
 		q.class(it.Class).observe(took)
-		q.limit.finished(now, it, took, len(q.running)+1)
+		if it.tokenAt.IsZero() {
+			q.limit.finished(now, took, len(q.running)+1)
+		}
 	}
 	q.settle(now)
 	return q.actions
@@ -135,7 +138,7 @@
 	for tier := lowestTier; tier >= highestTier; tier-- {
 		t := q.tiers[tier]
 		for t.expiry.len() > 0 {
-			q.refuse(now, t.expiry.items[t.expiry.len()-1], reason)
+			q.refuse(t.expiry.items[t.expiry.len()-1], reason)
 		}
 	}
 	return q.actions
@@ -216,10 +219,7 @@
 	q.waitingBytes -= it.Bytes
 }
 
-func (q *Queue) refuse(now time.Time, it *item, reason Reason) {
+func (q *Queue) refuse(it *item, reason Reason) {
 	q.dequeue(it)
-	if it.ran && reason != Draining {
-		reason = Preempted
-	}
-	q.do(Refuse{ID: it.ID, Reason: reason, RetryAfter: q.retryAfter(it.Tier), Ran: it.ran})
+	q.answer(it, reason)
 }
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -8,6 +8,7 @@
 	expiry       heap
 	target       heap // of the requests on time that have a target
 	running      int
+	peak         peak
 }
 
 func newTier() *tier {
