Keep slots free for the recent need of higher tiers

Cause: under a burst of long answers a slot came free every 0.8 s per engine, so the top class either waited or preempted. Change: lower tiers leave free what higher tiers needed lately and do not use now, at most half of the slots; a past peak counts half after 20 s. Conclusion: on by default; it costs the lower classes in a burst of the top class, which wants another look.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -122,7 +122,7 @@
 	defaultMaxWaitBytes   = 64 << 20
 	defaultAgedOneIn      = 10
 	defaultMaxPreemptions = 1
-	defaultHeadroom       = -1
+	defaultHeadroom       = 100
 )
 
 func (c Config) withDefaults() Config {
