Add the control host: membership, ledger, spread and placement

Cause: routers and agents need a directory, a ledger of protected requests and a stream of configurations to follow, and none of it existed. Change: pure packages for leases, the ledger and placement; one replicated state machine over them and the ticket book; the shell that serves them, gathers heartbeats into one report to the leader and spreads changes; the clients for routers and agents; bounded HTTP clients and servers.

--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/control.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/control.connect.go
@@ -45,6 +45,8 @@
 	DirectoryServiceLeaveProcedure = "/trefoilkeel.v1.DirectoryService/Leave"
 	// DirectoryServiceFollowProcedure is the fully-qualified name of the DirectoryService's Follow RPC.
 	DirectoryServiceFollowProcedure = "/trefoilkeel.v1.DirectoryService/Follow"
+	// DirectoryServiceReportProcedure is the fully-qualified name of the DirectoryService's Report RPC.
+	DirectoryServiceReportProcedure = "/trefoilkeel.v1.DirectoryService/Report"
 	// LedgerServiceClaimProcedure is the fully-qualified name of the LedgerService's Claim RPC.
 	LedgerServiceClaimProcedure = "/trefoilkeel.v1.LedgerService/Claim"
 	// LedgerServiceSettleProcedure is the fully-qualified name of the LedgerService's Settle RPC.
@@ -63,6 +65,8 @@
 	Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error)
 	// Follow streams the configuration and the directory.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowEvent], error)
+	// Report carries the heartbeats that one control host took to the leader.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 }
 
 // NewDirectoryServiceClient constructs a client for the trefoilkeel.v1.DirectoryService service. By
@@ -100,6 +104,12 @@
 			connect.WithSchema(directoryServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		report: connect.NewClient[v1.ReportRequest, v1.ReportResponse](
+			httpClient,
+			baseURL+DirectoryServiceReportProcedure,
+			connect.WithSchema(directoryServiceMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -109,6 +119,7 @@
 	heartbeat *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
 	leave     *connect.Client[v1.LeaveRequest, v1.LeaveResponse]
 	follow    *connect.Client[v1.FollowRequest, v1.FollowEvent]
+	report    *connect.Client[v1.ReportRequest, v1.ReportResponse]
 }
 
 // Announce calls trefoilkeel.v1.DirectoryService.Announce.
@@ -131,6 +142,11 @@
 	return c.follow.CallServerStream(ctx, req)
 }
 
+// Report calls trefoilkeel.v1.DirectoryService.Report.
+func (c *directoryServiceClient) Report(ctx context.Context, req *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
 // DirectoryServiceHandler is an implementation of the trefoilkeel.v1.DirectoryService service.
 type DirectoryServiceHandler interface {
 	// Announce asks for a lease and an incarnation for one endpoint.
@@ -141,6 +157,8 @@
 	Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error)
 	// Follow streams the configuration and the directory.
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowEvent]) error
+	// Report carries the heartbeats that one control host took to the leader.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 }
 
 // NewDirectoryServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -174,6 +192,12 @@
 		connect.WithSchema(directoryServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	directoryServiceReportHandler := connect.NewUnaryHandler(
+		DirectoryServiceReportProcedure,
+		svc.Report,
+		connect.WithSchema(directoryServiceMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trefoilkeel.v1.DirectoryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DirectoryServiceAnnounceProcedure:
@@ -184,6 +208,8 @@
 			directoryServiceLeaveHandler.ServeHTTP(w, r)
 		case DirectoryServiceFollowProcedure:
 			directoryServiceFollowHandler.ServeHTTP(w, r)
+		case DirectoryServiceReportProcedure:
+			directoryServiceReportHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -209,6 +235,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.DirectoryService.Follow is not implemented"))
 }
 
+func (UnimplementedDirectoryServiceHandler) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.DirectoryService.Report is not implemented"))
+}
+
 // LedgerServiceClient is a client for the trefoilkeel.v1.LedgerService service.
 type LedgerServiceClient interface {
 	// Claim asks for the right to dispatch one attempt.
--- /dev/null
+++ b/internal/control/suite_test.go
@@ -0,0 +1,146 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/admin"
+	"github.com/trefoilkeel/trefoilkeel/internal/control"
+	"github.com/trefoilkeel/trefoilkeel/internal/follow"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
+	"github.com/trefoilkeel/trefoilkeel/internal/state"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+// host is one control host on loopback.
+type host struct {
+	url     string
+	machine *state.Machine
+	client  *http.Client
+	stop    func()
+}
+
+// start runs a control host at an address ("" for any) until the spec ends.
+func start(address string, machine *state.Machine, log replica.Log, s control.Settings) *host {
+	GinkgoHelper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	server := control.New(control.Options{Machine: machine, Log: log, Settings: s, Auth: admin.Auth{Open: true}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	go func() { _ = server.Run(ctx); ended <- struct{}{} }()
+	go func() {
+		_ = rpc.Serve(ctx, listener, server.Handler(), nil, slog.New(slog.DiscardHandler))
+		ended <- struct{}{}
+	}()
+	h := &host{url: "http://" + listener.Addr().String(), machine: machine, client: rpc.Client(nil)}
+	stopped := false
+	h.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		<-ended
+		<-ended
+	}
+	DeferCleanup(h.stop)
+	return h
+}
+
+// solo runs a control host whose log is in memory.
+func solo(s control.Settings) *host {
+	GinkgoHelper()
+	machine := state.New(state.Options{})
+	return start("", machine, replica.NewSolo(machine), s)
+}
+
+func (h *host) directory() trefoilkeelv1connect.DirectoryServiceClient {
+	return trefoilkeelv1connect.NewDirectoryServiceClient(h.client, h.url)
+}
+
+func (h *host) ledger() trefoilkeelv1connect.LedgerServiceClient {
+	return trefoilkeelv1connect.NewLedgerServiceClient(h.client, h.url)
+}
+
+// submit sends a ticket that sets the limit named "limit" to n requests a second.
+func (h *host) submit(n int) {
+	GinkgoHelper()
+	answer, err := trefoilkeelv1connect.NewAdminServiceClient(h.client, h.url).SubmitTicket(
+		context.Background(), connect.NewRequest(&pb.SubmitTicketRequest{Ticket: limitTicket(n)}))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Msg.GetVerdict()).To(Equal(pb.Verdict_VERDICT_ACCEPTED), "%v", answer.Msg.GetFaults())
+}
+
+func limitTicket(n int) []byte {
+	GinkgoHelper()
+	encoded, err := ticket.Encode(&ticket.Ticket{
+		Number:  uint64(n),
+		Author:  "test",
+		Summary: fmt.Sprintf("limit %d", n),
+		Limits:  []ticket.Limit{{Name: "limit", RequestsPerSecond: n}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
+// subscribe runs a client until the spec ends.
+func subscribe(urls ...string) *follow.Client {
+	c := follow.New(follow.Options{ControlURLs: urls, Subscriber: "router-1", Kind: "router", WithDirectory: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { _ = c.Run(ctx); close(ended) }()
+	DeferCleanup(func() { cancel(); <-ended })
+	return c
+}
+
+// revision returns a poller for the client's revision.
+func revision(c *follow.Client) func() uint64 {
+	return func() uint64 {
+		if c.State() == nil {
+			return 0
+		}
+		return c.State().Revision
+	}
+}
+
+func endpoint(name string) *pb.Endpoint {
+	return &pb.Endpoint{
+		Name:          name,
+		Group:         "group",
+		Kind:          pb.EndpointKind_ENDPOINT_KIND_ENGINE,
+		Host:          "host-" + name,
+		FailureDomain: "a",
+		AgentUrl:      "http://127.0.0.1:1",
+	}
+}
+
+const (
+	within = 10 * time.Second
+	every  = 10 * time.Millisecond
+)
+
+func drain(h *host, name string) (*connect.Response[pb.DrainResponse], error) {
+	return trefoilkeelv1connect.NewAdminServiceClient(h.client, h.url).Drain(
+		context.Background(), connect.NewRequest(&pb.DrainRequest{Endpoint: name}))
+}
