--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	HeaderLoad        = "Tk-Load"        // agent's Load, base64 protobuf
 	HeaderOutcome     = "Tk-Outcome"     // trailer: whole or broken
 	HeaderHops        = "Tk-Hops"        // candidates tried before this one
+	HeaderMayMove     = "Tk-May-Move"    // true while other candidates are untried
+	HeaderNotAfter    = "Tk-Not-After"   // Unix ms after which a protected attempt must not start, 0 for none
 )
 
 // HeaderExecution tells router and caller whether the request ran.
@@ -60,6 +62,13 @@
 	Patience    time.Duration
 	Revision    uint64
 	Hops        int
+	// MayMove says that other candidates are untried: the agent refuses at
+	// once what it would start too late.
+	MayMove bool
+	// NotAfter is the wall-clock time in Unix ms after which a protected
+	// attempt must not start, 0 for none. It covers a router that was paused
+	// between claim and dispatch for longer than the ledger remembers.
+	NotAfter int64
 }
 
 // HeaderError names a header that is missing or malformed.
@@ -86,6 +95,8 @@
 	h.Set(HeaderPatience, strconv.FormatInt(m.Patience.Milliseconds(), 10))
 	h.Set(HeaderRevision, strconv.FormatUint(m.Revision, 10))
 	h.Set(HeaderHops, strconv.Itoa(m.Hops))
+	h.Set(HeaderMayMove, strconv.FormatBool(m.MayMove))
+	h.Set(HeaderNotAfter, strconv.FormatInt(m.NotAfter, 10))
 }
 
 // Read reads the headers that Write set; an error is a *HeaderError.
@@ -103,6 +114,8 @@
 		Patience:    time.Duration(r.number(HeaderPatience, 40)) * time.Millisecond,
 		Revision:    r.number(HeaderRevision, 64),
 		Hops:        int(r.number(HeaderHops, 31)),
+		MayMove:     h.Get(HeaderMayMove) == "true",
+		NotAfter:    int64(r.number(HeaderNotAfter, 62)),
 	}
 	if r.err != nil {
 		return nil, r.err
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -23,6 +23,7 @@
 	KeyConflict        RefusalType = "idempotency_key_conflict"
 	LimitExceeded      RefusalType = "limit_exceeded"
 	Overloaded         RefusalType = "overloaded"        // shed from a queue
+	Busy               RefusalType = "busy"              // another candidate may be sooner; never passed to a caller
 	PatienceExceeded   RefusalType = "patience_exceeded" // not started in time
 	DeadlineExceeded   RefusalType = "deadline_exceeded"
 	NoEndpoint         RefusalType = "no_endpoint"
