Give each subscriber its own place in the order of load changes

Change: loads are noted in the order in which they changed, each stream keeps its place per failure domain and takes up to its byte bound from there; the whole directory carries the loads known so far. Conclusion: no change of load is lost to a slow stream, and the bytes per round stay bounded.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -8,7 +8,6 @@
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/internal/admin"
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
-	"google.golang.org/protobuf/proto"
 )
 
 var _ admin.Backend = (*backend)(nil)
@@ -78,13 +77,7 @@
 // endpoints lists the directory with the newest loads.
 func (b *backend) endpoints() []*pb.Endpoint {
 	endpoints, _ := b.s.machine.Endpoints()
-	list := make([]*pb.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
-		e = proto.CloneOf(e)
-		e.Load = b.s.loads.get(e.GetName(), e.GetIncarnation()).GetLoad()
-		list = append(list, e)
-	}
-	return list
+	return b.s.loads.attach(endpoints)
 }
 
 // Drain asks an endpoint to take no new work, or takes that back. An unknown
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -79,7 +79,7 @@
 		operations:  ring.New[*operation]("ledger operations", settings.LedgerQueue),
 		loads:       newLoads(),
 		beats:       newBeats(),
-		digests:     newDigests(settings.DigestBytes),
+		digests:     newDigests(),
 		subscribers: newSubscribers(settings.MaxSubscribers),
 		leader:      newLeader(settings),
 		fresh:       newFreshness(),
--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -11,133 +12,157 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// digestRefresh is how often an unchanged load is sent again.
-const digestRefresh = 15 * time.Second
+// loadRefresh is how often the load of an endpoint is noted anew although its
+// queue has not changed.
+const loadRefresh = 15 * time.Second
 
-// digests holds the newest load digest of each failure domain. Subscribers of
-// a failure domain get its digest each time, and one of the others in turn.
+// digests holds the loads of each failure domain in the order in which they
+// changed. Each subscriber has a place in that order, so none misses a change
+// and a slow one gets fewer, newer loads.
 type digests struct {
-	maxBytes int
-
 	mu      sync.Mutex
-	round   int
-	domains []string
-	events  map[string]*pb.FollowEvent
+	number  uint64 // of the newest note
+	noted   map[string]note
+	domains map[string][]note // by number
 	changed chan struct{}
-
-	sent map[string]sentLoad // used by the building goroutine alone
 }
 
-// sentLoad is what a digest last told of an endpoint.
-type sentLoad struct {
-	load *pb.Load
-	at   time.Time
+// note is a load as subscribers are told of it.
+type note struct {
+	number uint64
+	at     time.Time
+	domain string
+	load   *pb.EndpointLoad
 }
 
-func newDigests(maxBytes int) *digests {
+func newDigests() *digests {
 	return &digests{
-		maxBytes: maxBytes,
-		events:   map[string]*pb.FollowEvent{},
-		changed:  make(chan struct{}),
-		sent:     map[string]sentLoad{},
+		noted:   map[string]note{},
+		domains: map[string][]note{},
+		changed: make(chan struct{}),
 	}
 }
 
-// digest builds the next round.
+// digest notes the loads that changed and wakes the streams.
 func (s *Server) digest(context.Context) {
 	endpoints, _ := s.machine.Endpoints()
 	s.loads.retain(endpoints)
 	s.digests.build(s.now(), endpoints, s.loads)
 }
 
-// build makes the digests of one round: the loads that changed or are due for
-// a refresh, the longest unsent first, up to the byte bound per failure domain.
+// build makes one round.
 func (d *digests) build(now time.Time, endpoints []*pb.Endpoint, l *loads) {
-	due := map[string][]*pb.EndpointLoad{}
-	kept := make(map[string]sentLoad, len(endpoints))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	noted := make(map[string]note, len(endpoints))
+	domains := map[string][]note{}
 	for _, e := range endpoints {
-		sent := d.sent[e.GetName()]
-		kept[e.GetName()] = sent
 		held := l.get(e.GetName(), e.GetIncarnation())
 		if held == nil {
 			continue
 		}
-		fresh := now.Sub(sent.at) < digestRefresh && sameLoad(held.GetLoad(), sent.load)
-		if !fresh {
-			due[e.GetFailureDomain()] = append(due[e.GetFailureDomain()], held)
+		n, known := d.noted[e.GetName()]
+		if !known || n.due(now, held) {
+			d.number++
+			n = note{number: d.number, at: now, domain: e.GetFailureDomain(), load: held}
 		}
+		noted[e.GetName()] = n
+		domains[n.domain] = append(domains[n.domain], n)
 	}
-	d.sent = kept
-	events := make(map[string]*pb.FollowEvent, len(due))
-	for domain, list := range due {
-		events[domain] = d.pack(now, domain, list)
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b note) int { return cmp.Compare(a.number, b.number) })
 	}
-	d.publish(events)
+	d.noted, d.domains = noted, domains
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
 
-// pack fills one digest up to its bound.
-func (d *digests) pack(now time.Time, domain string, due []*pb.EndpointLoad) *pb.FollowEvent {
-	slices.SortStableFunc(due, func(a, b *pb.EndpointLoad) int {
-		return d.sent[a.GetName()].at.Compare(d.sent[b.GetName()].at)
-	})
-	digest := &pb.Digest{FailureDomain: domain}
-	size := 0
-	for _, load := range due {
-		size += proto.Size(load)
-		if size > d.maxBytes && len(digest.Loads) > 0 {
-			break
-		}
-		digest.Loads = append(digest.Loads, load)
-		d.sent[load.GetName()] = sentLoad{load: load.GetLoad(), at: now}
+// due tells whether a load is worth a new note.
+func (n note) due(now time.Time, held *pb.EndpointLoad) bool {
+	if n.load.GetIncarnation() != held.GetIncarnation() {
+		return true
+	}
+	if n.load.GetLoad().GetSequence() == held.GetLoad().GetSequence() {
+		return false
 	}
-	return &pb.FollowEvent{Event: &pb.FollowEvent_Digest{Digest: digest}}
+	return now.Sub(n.at) >= loadRefresh || !sameQueue(n.load.GetLoad(), held.GetLoad())
 }
 
-func (d *digests) publish(events map[string]*pb.FollowEvent) {
+// next returns a channel that is closed at the next round, and the number of
+// the newest note.
+func (d *digests) next() (changed <-chan struct{}, number uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.round++
-	d.events = events
-	d.domains = slices.Sorted(maps.Keys(events))
-	close(d.changed)
-	d.changed = make(chan struct{})
+	return d.changed, d.number
 }
 
-// next returns a channel that is closed at the next round.
-func (d *digests) next() <-chan struct{} {
+// names lists the failure domains with a load.
+func (d *digests) names() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.changed
+	return slices.Sorted(maps.Keys(d.domains))
 }
 
-// pick returns what a subscriber of a failure domain gets in this round.
-func (d *digests) pick(domain string) []*pb.FollowEvent {
+// since returns the loads of a failure domain after a note, the oldest change
+// first, up to a bound in bytes, and the number of the last one.
+func (d *digests) since(domain string, number uint64, maxBytes int) (*pb.Digest, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []*pb.FollowEvent
-	if own := d.events[domain]; own != nil {
-		list = append(list, own)
-	}
-	others := slices.DeleteFunc(slices.Clone(d.domains), func(name string) bool { return name == domain })
-	if len(others) > 0 {
-		list = append(list, d.events[others[d.round%len(others)]])
+	list := d.domains[domain]
+	first, _ := slices.BinarySearchFunc(list, number+1, func(n note, want uint64) int {
+		return cmp.Compare(n.number, want)
+	})
+	digest := &pb.Digest{FailureDomain: domain}
+	size := 0
+	for _, n := range list[first:] {
+		size += proto.Size(n.load)
+		if size > maxBytes && len(digest.Loads) > 0 {
+			break
+		}
+		digest.Loads = append(digest.Loads, n.load)
+		number = n.number
 	}
-	return list
+	return digest, number
 }
 
-// sameLoad compares loads apart from their sequence numbers.
-func sameLoad(a, b *pb.Load) bool {
-	if a == nil || b == nil {
-		return a == b
-	}
-	if len(a.GetTiers()) != len(b.GetTiers()) || a.GetRunning() != b.GetRunning() || a.GetSlots() != b.GetSlots() {
+// sameQueue compares what the choice of an endpoint depends on most.
+func sameQueue(a, b *pb.Load) bool {
+	if a.GetRunning() != b.GetRunning() || a.GetSlots() != b.GetSlots() {
 		return false
 	}
-	for i, tier := range a.GetTiers() {
-		other := b.GetTiers()[i]
-		if tier.GetTier() != other.GetTier() || tier.GetWaiting() != other.GetWaiting() || tier.GetRunning() != other.GetRunning() {
-			return false
+	return slices.EqualFunc(a.GetTiers(), b.GetTiers(), func(x, y *pb.TierLoad) bool {
+		return x.GetTier() == y.GetTier() && x.GetWaiting() == y.GetWaiting() && x.GetRunning() == y.GetRunning()
+	})
+}
+
+// loadPlaces are a subscriber's places in the order of each failure domain.
+type loadPlaces struct {
+	start  uint64 // the whole directory held the loads up to here
+	places map[string]uint64
+	round  int
+}
+
+// pick returns what a subscriber gets in this round: the loads of its own
+// failure domain, and of one of the others in turn.
+func (p *loadPlaces) pick(d *digests, own string, maxBytes int) []*pb.FollowEvent {
+	names := d.names()
+	others := slices.DeleteFunc(names, func(name string) bool { return name == own })
+	turn := []string{own}
+	if len(others) > 0 {
+		turn = append(turn, others[p.round%len(others)])
+	}
+	p.round++
+	var events []*pb.FollowEvent
+	for _, name := range turn {
+		place, known := p.places[name]
+		if !known {
+			place = p.start
+		}
+		digest, newest := d.since(name, place, maxBytes)
+		p.places[name] = newest
+		if len(digest.GetLoads()) > 0 {
+			events = append(events, &pb.FollowEvent{Event: &pb.FollowEvent_Digest{Digest: digest}})
 		}
 	}
-	return true
+	return events
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -23,6 +23,7 @@
 	revision   uint64 // newest revision sent or held by the subscriber
 	directory  uint64 // version of the directory sent
 	whole      bool   // the whole directory has been sent
+	loads      loadPlaces
 }
 
 // Follow streams the configuration and the directory until the subscriber or
@@ -73,7 +74,7 @@
 	for {
 		var digest <-chan struct{}
 		if f.request.GetWithDirectory() {
-			digest = f.s.digests.next()
+			digest, _ = f.s.digests.next()
 		}
 		select {
 		case <-changed:
@@ -196,8 +197,10 @@
 }
 
 func (f *stream) sendWholeDirectory() error {
+	_, number := f.s.digests.next()
+	f.loads = loadPlaces{start: number, places: map[string]uint64{}}
 	endpoints, version := f.s.machine.Endpoints()
-	directory := &pb.Directory{Version: version, Endpoints: endpoints}
+	directory := &pb.Directory{Version: version, Endpoints: f.s.loads.attach(endpoints)}
 	f.whole = true
 	f.directory = version
 	return f.send(&pb.FollowEvent{
@@ -207,7 +210,8 @@
 }
 
 func (f *stream) sendDigests() error {
-	for _, e := range f.s.digests.pick(f.request.GetFailureDomain()) {
+	events := f.loads.pick(f.s.digests, f.request.GetFailureDomain(), f.s.settings.DigestBytes)
+	for _, e := range events {
 		if err := f.send(e); err != nil {
 			return err
 		}
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -20,6 +20,7 @@
 	ReportInterval: 10 * time.Millisecond,
 	DigestInterval: 10 * time.Millisecond,
 	AliveInterval:  10 * time.Millisecond,
+	ConfirmTimeout: 500 * time.Millisecond,
 }
 
 // configuration reads a stream up to the first event with a configuration.
@@ -148,6 +149,7 @@
 	a := follow.NewAnnouncer(follow.AnnouncerOptions{
 		ControlURLs: urls,
 		Endpoint:    endpoint(name),
+		HTTP:        client,
 		Interval:    5 * time.Millisecond,
 		Report: func() follow.Report {
 			return follow.Report{State: pb.EndpointState_ENDPOINT_STATE_ACTIVE, Load: &pb.Load{Running: 1, Sequence: 1}}
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -8,10 +8,6 @@
 	"connectrpc.com/connect"
 )
 
-// confirmTimeout is how long a new subscriber waits until this host has
-// confirmed that it is not behind.
-const confirmTimeout = 5 * time.Second
-
 // NotConfirmedError says that this host could not find out whether it is behind.
 type NotConfirmedError struct{}
 
@@ -53,7 +49,7 @@
 // with, so a host that is behind could turn it back.
 func (s *Server) awaitFresh(ctx context.Context) error {
 	arrived := s.now()
-	timeout := time.NewTimer(confirmTimeout)
+	timeout := time.NewTimer(s.settings.ConfirmTimeout)
 	defer timeout.Stop()
 	for {
 		applied := s.machine.Changed()
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 // loads holds the newest load of each incarnation.
@@ -43,6 +44,17 @@
 	return held
 }
 
+// attach returns copies of the endpoints with their newest loads.
+func (l *loads) attach(endpoints []*pb.Endpoint) []*pb.Endpoint {
+	list := make([]*pb.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		e = proto.CloneOf(e)
+		e.Load = l.get(e.GetName(), e.GetIncarnation()).GetLoad()
+		list = append(list, e)
+	}
+	return list
+}
+
 // all lists the newest loads.
 func (l *loads) all() []*pb.EndpointLoad {
 	l.mu.Lock()
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -20,7 +20,10 @@
 	// DigestBytes bounds the load digest of one failure domain.
 	DigestBytes int
 	// AliveInterval is the time between two signs of life on an idle stream.
-	AliveInterval  time.Duration
+	AliveInterval time.Duration
+	// ConfirmTimeout is how long a subscriber without a state waits until this
+	// host has confirmed that it is not behind.
+	ConfirmTimeout time.Duration
 	MaxEndpoints   int
 	MaxSubscribers int
 	// ProposeTimeout bounds a command that no caller waits for.
@@ -49,6 +52,7 @@
 	DefaultDigestInterval       = time.Second
 	DefaultDigestBytes          = 2 << 10
 	DefaultAliveInterval        = 5 * time.Second
+	DefaultConfirmTimeout       = 5 * time.Second
 	DefaultMaxEndpoints         = 20_000
 	DefaultMaxSubscribers       = 10_000
 	DefaultProposeTimeout       = 5 * time.Second
@@ -68,6 +72,7 @@
 	setDefault(&s.DigestInterval, DefaultDigestInterval)
 	setDefault(&s.DigestBytes, DefaultDigestBytes)
 	setDefault(&s.AliveInterval, DefaultAliveInterval)
+	setDefault(&s.ConfirmTimeout, DefaultConfirmTimeout)
 	setDefault(&s.MaxEndpoints, DefaultMaxEndpoints)
 	setDefault(&s.MaxSubscribers, DefaultMaxSubscribers)
 	setDefault(&s.ProposeTimeout, DefaultProposeTimeout)
--- a/internal/control/suite_test.go
+++ b/internal/control/suite_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -29,11 +28,13 @@
 	RunSpecs(t, "control")
 }
 
+// client is shared, so that its idle connections can be closed before a host stops.
+var client = rpc.Client(nil)
+
 // host is one control host on loopback.
 type host struct {
 	url     string
 	machine *state.Machine
-	client  *http.Client
 	stop    func()
 }
 
@@ -53,7 +54,7 @@
 		_ = rpc.Serve(ctx, listener, server.Handler(), nil, slog.New(slog.DiscardHandler))
 		ended <- struct{}{}
 	}()
-	h := &host{url: "http://" + listener.Addr().String(), machine: machine, client: rpc.Client(nil)}
+	h := &host{url: "http://" + listener.Addr().String(), machine: machine}
 	stopped := false
 	h.stop = func() {
 		if stopped {
@@ -61,8 +62,14 @@
 		}
 		stopped = true
 		cancel()
-		<-ended
-		<-ended
+		for running := 2; running > 0; {
+			client.CloseIdleConnections()
+			select {
+			case <-ended:
+				running--
+			case <-time.After(every):
+			}
+		}
 	}
 	DeferCleanup(h.stop)
 	return h
@@ -76,17 +83,17 @@
 }
 
 func (h *host) directory() trefoilkeelv1connect.DirectoryServiceClient {
-	return trefoilkeelv1connect.NewDirectoryServiceClient(h.client, h.url)
+	return trefoilkeelv1connect.NewDirectoryServiceClient(client, h.url)
 }
 
 func (h *host) ledger() trefoilkeelv1connect.LedgerServiceClient {
-	return trefoilkeelv1connect.NewLedgerServiceClient(h.client, h.url)
+	return trefoilkeelv1connect.NewLedgerServiceClient(client, h.url)
 }
 
 // submit sends a ticket that sets the limit named "limit" to n requests a second.
 func (h *host) submit(n int) {
 	GinkgoHelper()
-	answer, err := trefoilkeelv1connect.NewAdminServiceClient(h.client, h.url).SubmitTicket(
+	answer, err := trefoilkeelv1connect.NewAdminServiceClient(client, h.url).SubmitTicket(
 		context.Background(), connect.NewRequest(&pb.SubmitTicketRequest{Ticket: limitTicket(n)}))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(answer.Msg.GetVerdict()).To(Equal(pb.Verdict_VERDICT_ACCEPTED), "%v", answer.Msg.GetFaults())
@@ -106,7 +113,7 @@
 
 // subscribe runs a client until the spec ends.
 func subscribe(urls ...string) *follow.Client {
-	c := follow.New(follow.Options{ControlURLs: urls, Subscriber: "router-1", Kind: "router", WithDirectory: true})
+	c := follow.New(follow.Options{ControlURLs: urls, Subscriber: "router-1", Kind: "router", WithDirectory: true, HTTP: client})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { _ = c.Run(ctx); close(ended) }()
@@ -141,6 +148,6 @@
 )
 
 func drain(h *host, name string) (*connect.Response[pb.DrainResponse], error) {
-	return trefoilkeelv1connect.NewAdminServiceClient(h.client, h.url).Drain(
+	return trefoilkeelv1connect.NewAdminServiceClient(client, h.url).Drain(
 		context.Background(), connect.NewRequest(&pb.DrainRequest{Endpoint: name}))
 }
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -153,9 +153,12 @@
 	return v.listed
 }
 
-// withLoad keeps the load known of the same incarnation.
+// withLoad keeps the newer of the loads known of the same incarnation.
 func withLoad(e, old *pb.Endpoint) *pb.Endpoint {
-	if old.GetLoad() == nil || e.GetLoad() != nil || old.GetIncarnation() != e.GetIncarnation() {
+	if old.GetLoad() == nil || old.GetIncarnation() != e.GetIncarnation() {
+		return e
+	}
+	if e.GetLoad() != nil && e.GetLoad().GetSequence() >= old.GetLoad().GetSequence() {
 		return e
 	}
 	return replaceLoad(e, old.GetLoad())
