Score a few random endpoints inside and outside the failure domain

Cause: the choice between failure domains looked at waits alone, and how many random candidates to score was not settled. Change: the other domains are scored once the best of the own costs 50 ms; the number of candidates is a setting. Conclusion: two candidates stay; with figures seconds old, more candidates herd.

--- a/internal/flow/fair.go
+++ b/internal/flow/fair.go
@@ -54,16 +54,12 @@
 	}
 }
 
-// next returns the request whose turn it is without taking it; nil if none.
-func (f *fair) next() *item {
+// take removes the request whose turn it is and charges its workspace; nil
+// if there is none.
+func (f *fair) take() *item {
 	if f.count == 0 {
 		return nil
 	}
-	return f.current().items.head()
-}
-
-// take removes the request that next returned and charges its workspace.
-func (f *fair) take() *item {
 	l := f.current()
 	it := l.items.head()
 	if l.deficit == 0 {
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -78,10 +78,10 @@
 	if from.count == 0 {
 		from = t.late
 	}
-	if from.count == 0 {
+	it := from.take()
+	if it == nil {
 		return nil
 	}
-	it := from.take()
 	t.expiry.remove(it)
 	t.target.remove(it)
 	return it
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -13,13 +13,17 @@
 		return t.lastResort(now, &r, missing)
 	}
 	own := t.partition()
-	best, reason := t.bestOfTwo(t.fit[:own], &r, rand)
-	if best == nil || t.scoreOf(best).Wait >= t.config.SpillWait {
-		other, _ := t.bestOfTwo(t.fit[own:], &r, rand)
-		if other != nil && (best == nil || t.scoreOf(other).Cost < t.scoreOf(best).Cost) {
+	best, score := t.bestOf(t.fit[:own], &r, rand)
+	reason := ReasonBetter
+	if best == nil || score.Cost >= t.config.SpillCost {
+		other, otherScore := t.bestOf(t.fit[own:], &r, rand)
+		if best == nil || other != nil && otherScore.Cost < score.Cost {
 			best, reason = other, ReasonSpill
 		}
 	}
+	if len(t.fit) == 1 {
+		reason = ReasonOnly
+	}
 	return t.decide(now, best, reason)
 }
 
@@ -95,29 +99,23 @@
 	return own
 }
 
-// bestOfTwo scores two random endpoints of from and returns the better.
-func (t *Table) bestOfTwo(from []*endpoint, r *Request, rand Rand) (*endpoint, string) {
-	switch len(from) {
-	case 0:
-		return nil, ""
-	case 1:
-		t.score(from[0], r)
-		return from[0], ReasonOnly
-	}
-	i := rand.IntN(len(from))
-	j := rand.IntN(len(from) - 1)
-	if j >= i {
-		j++
-	}
-	a, b := t.score(from[i], r), t.score(from[j], r)
-	if b < a {
-		return from[j], ReasonBetter
+// bestOf scores a few random endpoints of from and returns the best. It
+// reorders from.
+func (t *Table) bestOf(from []*endpoint, r *Request, rand Rand) (*endpoint, Score) {
+	var best *endpoint
+	var bestScore Score
+	for i := range min(len(from), t.config.Choices) {
+		j := i + rand.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+		if s := t.score(from[i], r); best == nil || s.Cost < bestScore.Cost {
+			best, bestScore = from[i], s
+		}
 	}
-	return from[i], ReasonBetter
+	return best, bestScore
 }
 
-// score appends the estimate for e and returns its cost.
-func (t *Table) score(e *endpoint, r *Request) time.Duration {
+// score appends the estimate for e and returns it.
+func (t *Table) score(e *endpoint, r *Request) Score {
 	s := Score{Endpoint: e.described.GetName(), Own: e.own, Wait: e.wait(r.Tier)}
 	s.Cost = s.Wait
 	if e.load != nil {
@@ -127,14 +125,5 @@
 		s.Cost += t.config.DomainCost
 	}
 	t.scores = append(t.scores, s)
-	return s.Cost
-}
-
-func (t *Table) scoreOf(e *endpoint) Score {
-	for _, s := range t.scores {
-		if s.Endpoint == e.described.GetName() {
-			return s
-		}
-	}
-	return Score{}
+	return s
 }
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -63,7 +63,6 @@
 	oneTier    bool // no tiers, first in first out
 	walk       bool // try other candidates after a refusal
 	move       bool // agents may bounce a request that would start late
-	leastWait  bool // the least loaded by the router's figures
 }
 
 type tally struct {
@@ -73,18 +72,16 @@
 }
 
 type job struct {
-	class     *class
-	request   flow.Request
-	router    int
-	prefix    uint64
-	length    int
-	made      int
-	joined    bool
-	first     time.Time
-	tried     []string
-	at        int
-	hops      int
-	preempted int
+	class   *class
+	request flow.Request
+	router  int
+	prefix  uint64
+	length  int
+	made    int
+	joined  bool
+	first   time.Time
+	tried   []string
+	at      int
 }
 
 type engineModel struct {
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -78,14 +78,11 @@
 	}
 	return []policy{
 		baseline(), full(),
-		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
-		with("no-headroom", func(p *policy) { p.flow.HeadroomPercent = -1 }),
-		with("headroom-50", func(p *policy) { p.flow.HeadroomPercent = 50 }),
-		with("fixed-16", func(p *policy) { p.flow = flow.Config{Slots: 16} }),
-		with("fixed-32", func(p *policy) { p.flow = flow.Config{Slots: 32} }),
-		with("fixed-48", func(p *policy) { p.flow = flow.Config{Slots: 48} }),
-		with("move", func(p *policy) { p.move = true }),
-		with("no-affinity", func(p *policy) { p.routing.MaxPrefixes = -1 }),
+		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
+		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
+		with("least-cost", func(p *policy) { p.routing.Choices = 1000 }),
+		with("spill-20", func(p *policy) { p.routing.SpillCost = 20 * time.Millisecond }),
+		with("spill-200", func(p *policy) { p.routing.SpillCost = 200 * time.Millisecond }),
 	}
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,6 +1,6 @@
 // Package routing chooses the endpoint of a request at a router: it filters
 // the endpoints that may serve it, scores a few of them by the time that the
-// request would lose there, and picks the better of two random ones.
+// request would lose there, and picks the best of a few random ones.
 //
 // A Table has no clock, goroutine or I/O, and takes its randomness from the
 // caller. It is not safe for concurrent use.
@@ -52,7 +52,7 @@
 // The reasons of a Decision.
 const (
 	ReasonOnly      = "only"       // one candidate was left
-	ReasonBetter    = "better"     // the better of two random ones
+	ReasonBetter    = "better"     // the best of a few random ones
 	ReasonAffinity  = "affinity"   // it holds the prompt's prefix
 	ReasonSpill     = "spill"      // the own failure domain would be later
 	ReasonLowerTier = "lower-tier" // it can displace a lower tier
@@ -94,9 +94,12 @@
 	FailureDomain string
 	// DomainCost is what a request loses by leaving the failure domain.
 	DomainCost time.Duration
-	// SpillWait is the expected wait in the own failure domain from which
-	// the others are considered.
-	SpillWait time.Duration
+	// SpillCost is the cost in the own failure domain from which the others
+	// are considered.
+	SpillCost time.Duration
+	// Choices is how many random candidates are scored in each of the own
+	// and the other failure domains.
+	Choices int
 	// FailuresToEject is how many failures in a row eject an endpoint.
 	FailuresToEject int
 	// EjectFor is the first ejection; each further one doubles it up to
@@ -113,7 +116,8 @@
 // Defaults of Config.
 const (
 	defaultDomainCost      = 10 * time.Millisecond
-	defaultSpillWait       = 20 * time.Millisecond
+	defaultSpillCost       = 50 * time.Millisecond
+	defaultChoices         = 2
 	defaultFailuresToEject = 3
 	defaultEjectFor        = time.Second
 	defaultMaxEjectFor     = time.Minute
@@ -124,7 +128,8 @@
 
 func (c Config) withDefaults() Config {
 	c.DomainCost = orDefault(c.DomainCost, defaultDomainCost)
-	c.SpillWait = orDefault(c.SpillWait, defaultSpillWait)
+	c.SpillCost = orDefault(c.SpillCost, defaultSpillCost)
+	c.Choices = orDefault(c.Choices, defaultChoices)
 	c.FailuresToEject = orDefault(c.FailuresToEject, defaultFailuresToEject)
 	c.EjectFor = orDefault(c.EjectFor, defaultEjectFor)
 	c.MaxEjectFor = orDefault(c.MaxEjectFor, defaultMaxEjectFor)
