Preempt a little earlier, and never for less than it costs

Cause: preempting when the mean time to first token was left missed the target by tens of milliseconds (top class p95 536 ms against 490), and long answers were thrown away for short ones. Change: the time left is the mean plus three deviations; for a target, only work shorter than the beneficiary's own answer is thrown away, for patience any; a request is preempted up to four times; the headroom counts what ran, not what waited.

--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -4,22 +4,29 @@
 
 // Weights of the moving estimates.
 const (
-	meanWeight   = 8  // one observation moves a mean by 1/8 of its distance
-	quantileStep = 16 // a quantile moves by 1/16 of itself
-	lowQuantile  = 10 // 1 in 10 answers is shorter than the shortest expected
+	meanWeight     = 8  // one observation moves a mean by 1/8 of its distance
+	quantileStep   = 16 // a quantile moves by 1/16 of itself
+	highDeviations = 3  // between the mean and what few observations exceed
+	lowQuantile    = 10 // 1 in 10 answers is shorter than the shortest expected
 )
 
-// mean is an exponentially weighted mean; 0 until the first observation.
-type mean struct{ value time.Duration }
+// mean is an exponentially weighted mean with its mean deviation; 0 until the
+// first observation.
+type mean struct{ value, deviation time.Duration }
 
 func (m *mean) add(d time.Duration) {
 	if m.value == 0 {
 		m.value = d
 		return
 	}
-	m.value += (d - m.value) / meanWeight
+	distance := d - m.value
+	m.value += distance / meanWeight
+	m.deviation += (distance.Abs() - m.deviation) / meanWeight
 }
 
+// high is a time that few observations exceed.
+func (m *mean) high() time.Duration { return m.value + highDeviations*m.deviation }
+
 // classEstimate is what was observed of one class.
 type classEstimate struct {
 	service    mean
@@ -55,12 +62,13 @@
 	return c
 }
 
-// expectedFirstToken is the expected time from start to first token.
+// expectedFirstToken is the time from start to first token that few requests
+// of the class exceed.
 func (q *Queue) expectedFirstToken(class string) time.Duration {
 	if c := q.classes[class]; c != nil && c.firstToken.value > 0 {
-		return c.firstToken.value
+		return c.firstToken.high()
 	}
-	return q.firstToken.value
+	return q.firstToken.high()
 }
 
 // shortest is the time that an answer of the class takes at least, going by
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -121,7 +121,7 @@
 	defaultMaxWaiting     = 2048
 	defaultMaxWaitBytes   = 64 << 20
 	defaultAgedOneIn      = 10
-	defaultMaxPreemptions = 1
+	defaultMaxPreemptions = 4
 	defaultHeadroom       = 100
 )
 
--- a/internal/flow/headroom.go
+++ b/internal/flow/headroom.go
@@ -34,7 +34,7 @@
 	kept := 0.0
 	for t := highestTier; t < tier; t++ {
 		present := q.tiers[t]
-		need := present.peak.see(now, present.running+present.waiting())
+		need := present.peak.see(now, present.running)
 		kept += math.Max(need-float64(present.running), 0)
 	}
 	slots := q.limit.slots()
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -2,6 +2,8 @@
 
 import "time"
 
+const worthPart = 1
+
 // rescue preempts lower tiers for requests that are about to miss their
 // target or to pass their patience.
 func (q *Queue) rescue(now time.Time) {
@@ -10,22 +12,27 @@
 	}
 	for tier := highestTier; tier < lowestTier; tier++ {
 		t := q.tiers[tier]
-		for due(t.target.head(), byTarget, now) || due(t.expiry.head(), byExpiry, now) {
-			if !q.preemptFor(now, tier) {
-				break
-			}
+		for due(t.expiry.head(), byExpiry, now) && q.preemptFor(now, tier, 0) {
+		}
+		for due(t.target.head(), byTarget, now) && q.preemptFor(now, tier, q.worth(t.target.head())) {
 		}
 	}
 }
 
+// worth is how much work of a lower tier may be thrown away for a request to
+// meet its target: a part of the time that its own answer takes.
+func (q *Queue) worth(it *item) time.Duration {
+	return max(q.class(it.Class).service.value/worthPart, time.Millisecond)
+}
+
 func due(it *item, kind int, now time.Time) bool {
 	return it != nil && it.key[kind] <= now.UnixNano()
 }
 
 // preemptFor frees one slot of a tier below the given one and starts the
 // request that is next; false if there is no such slot.
-func (q *Queue) preemptFor(now time.Time, tier int) bool {
-	it := q.preemptible(now, tier)
+func (q *Queue) preemptFor(now time.Time, tier int, lost time.Duration) bool {
+	it := q.preemptible(now, tier, lost)
 	if it == nil {
 		return false
 	}
@@ -42,12 +49,16 @@
 
 // preemptible returns the running request to preempt first: of the lowest
 // tier below the given one, the one that started last; nil if there is none.
-func (q *Queue) preemptible(now time.Time, above int) *item {
+// lost bounds how long it has run, 0 for no bound.
+func (q *Queue) preemptible(now time.Time, above int, lost time.Duration) *item {
 	var best *item
 	for _, it := range q.running {
 		if it.Tier <= above || !q.mayPreempt(now, it) {
 			continue
 		}
+		if lost > 0 && now.Sub(it.startedAt) > lost {
+			continue
+		}
 		if best == nil || it.Tier > best.Tier || it.Tier == best.Tier && startedAfter(it, best) {
 			best = it
 		}
