Score an endpoint by the demand of the tier, not by its busy time

Cause: the mean service time of an endpoint follows whichever class finished last, and as the main part of the score it drowned the rest: one engine had two of the top class waiting while its neighbours had none. Change: the score is the expected time to first token, longer the more of the slots the tier and above ask for, plus a wait where those exceed the slots.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -117,10 +117,7 @@
 // score appends the estimate for e and returns it.
 func (t *Table) score(e *endpoint, r *Request) Score {
 	s := Score{Endpoint: e.described.GetName(), Own: e.own, Wait: e.wait(r.Tier)}
-	s.Cost = s.Wait
-	if e.load != nil {
-		s.Cost += e.firstToken() + e.serviceTime()*time.Duration(e.busy())/100
-	}
+	s.Cost = s.Wait + e.firstTokenCost(r.Tier)
 	if !e.own {
 		s.Cost += t.config.DomainCost
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -37,25 +37,55 @@
 	return state == pb.EndpointState_ENDPOINT_STATE_DRAINING || state == pb.EndpointState_ENDPOINT_STATE_GONE
 }
 
+// demand is how many requests of the tier and above wait or run there; lower
+// ones give way.
+func (e *endpoint) demand(tier int) int {
+	demand := e.unseen
+	for _, t := range e.load.GetTiers() {
+		if int(t.GetTier()) <= tier {
+			demand += int(t.GetWaiting()) + int(t.GetRunning())
+		}
+	}
+	return demand
+}
+
 // wait is the expected time in the agent's queue for a request of the tier.
 func (e *endpoint) wait(tier int) time.Duration {
 	if e.load == nil {
 		return 0
 	}
-	ahead := e.unseen
-	for _, t := range e.load.GetTiers() {
-		if int(t.GetTier()) <= tier {
-			ahead += int(t.GetWaiting())
-		}
-	}
 	slots := max(int(e.load.GetSlots()), 1)
-	free := slots - int(e.load.GetRunning())
-	if ahead < free {
+	interval := e.serviceTime() / time.Duration(slots)
+	if ahead := e.demand(tier) - slots; ahead >= 0 {
+		return time.Duration(ahead+1) * interval
+	}
+	if int(e.load.GetRunning())+e.unseen >= slots {
+		return interval / giveWayPart
+	}
+	return 0
+}
+
+// giveWayPart is how much sooner than by itself a slot comes free that lower
+// tiers hold.
+const giveWayPart = 4
+
+// firstTokenCost is the expected time from start to first token, longer the
+// more of the slots are asked for.
+func (e *endpoint) firstTokenCost(tier int) time.Duration {
+	if e.load == nil {
 		return 0
 	}
-	return time.Duration(ahead-free+1) * e.serviceTime() / time.Duration(slots)
+	slots := max(int(e.load.GetSlots()), 1)
+	used := demandWeight*e.demand(tier) + runningWeight*(int(e.load.GetRunning())+e.unseen)
+	return e.firstToken() * time.Duration(slots+used) / time.Duration(slots)
 }
 
+// Weights of the slots in use in firstTokenCost.
+const (
+	demandWeight  = 3
+	runningWeight = 3
+)
+
 func (e *endpoint) serviceTime() time.Duration {
 	return time.Duration(e.load.GetServiceTimeUs()) * time.Microsecond
 }
@@ -64,14 +94,6 @@
 	return time.Duration(e.load.GetFirstTokenUs()) * time.Microsecond
 }
 
-// busy is the part of the slots in use or asked for, in percent.
-func (e *endpoint) busy() int {
-	if e.load == nil {
-		return 0
-	}
-	return 100 * (int(e.load.GetRunning()) + e.unseen) / max(int(e.load.GetSlots()), 1)
-}
-
 // lowerTier says that something below the tier waits or runs there.
 func (e *endpoint) lowerTier(tier int) bool {
 	for _, t := range e.load.GetTiers() {
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -79,6 +79,7 @@
 	length  int
 	made    int
 	joined  bool
+	started time.Time
 	first   time.Time
 	tried   []string
 	at      int
@@ -131,6 +132,7 @@
 	arrivals   int
 	violations []string
 	// onActions sees the actions of an engine's queue, for properties.
+	onEnd     func(j *job)
 	onActions func(e *engineModel, actions []flow.Action)
 }
 
@@ -327,6 +329,7 @@
 		case flow.Start:
 			j := w.jobs[a.ID]
 			w.tallies[j.class.name].starts = append(w.tallies[j.class.name].starts, w.now.Sub(modelEpoch))
+			j.started = w.now
 			e.joining = append(e.joining, j)
 			w.tick(e)
 		case flow.Preempt:
@@ -371,6 +374,9 @@
 		return
 	}
 	t.finished++
+	if w.onEnd != nil {
+		w.onEnd(j)
+	}
 	ttft := j.first.Sub(j.request.Arrived)
 	t.ttft = append(t.ttft, ttft)
 	between := time.Duration(0)
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -14,6 +14,7 @@
 
 var comparePolicies = flag.Bool("policies", false, "print the comparison of policies in the model")
 
+var onlyPolicy = flag.String("only", "", "part of the name of the policies to print")
 var onlyScenario = flag.String("scenario", "", "part of the name of the scenarios to print")
 
 // mix is the classes of the rally desk; the rates are for twelve engines.
@@ -120,6 +121,9 @@
 			continue
 		}
 		for _, p := range policies() {
+			if !strings.Contains(p.name, *onlyPolicy) {
+				continue
+			}
 			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, 1).run().summary())
 		}
 	}
