Drive tickets, drain and hosts by the command-line tool

Cause: the administration API had no client for operators. Change: ticket submit, check, show and history, status, drain, host add and remove, keys new, each as text or JSON; several control hosts are tried in order and the exit code tells refused, unreachable and unknown apart. Conclusion: a lost answer of a submit is repeated and ends in its first verdict; a lost change of hosts is not repeated.

--- a/cmd/trefoilkeel/main.go
+++ b/cmd/trefoilkeel/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -10,12 +11,17 @@
 // cli lists the commands; each is defined in a file of its own.
 type cli struct {
 	Version versionCommand `cmd:"" help:"Print the version."`
+	Ticket  ticketCommand  `cmd:"" help:"Submit, check and show change tickets."`
+	Status  statusCommand  `cmd:"" help:"Show control hosts, subscribers and endpoints."`
+	Drain   drainCommand   `cmd:"" help:"Ask an endpoint to take no new work."`
+	Host    hostCommand    `cmd:"" help:"Change the set of control hosts."`
+	Keys    keysCommand    `cmd:"" help:"Make keys."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in engine or service, for tests and trials."`
 }
 
 func main() {
 	c := &cli{}
-	ctx := kong.Parse(c, kong.Name("trefoilkeel"), kong.Description("Operate a trefoilkeel router."), kong.UsageOnError())
+	ctx := kong.Parse(c, kong.Name("trefoilkeel"), kong.Description("Operate a trefoilkeel router."), kong.UsageOnError(), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
 	if err := ctx.Run(); err != nil {
 		os.Exit(exitCode(err))
 	}
--- /dev/null
+++ b/cmd/trefoilkeel/tool_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/internal/admin"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+// bookBackend is an admin.Backend over a book in memory.
+type bookBackend struct {
+	book        *ticket.Book
+	notRecorded bool
+	hostCalls   atomic.Int32
+}
+
+func (b *bookBackend) SubmitTicket(_ context.Context, encoded []byte) (ticket.Verdict, error) {
+	if b.notRecorded {
+		return ticket.Verdict{}, &replica.NotRecorded{Reason: "no leader"}
+	}
+	return b.book.Submit(encoded, 1_796_334_000_000), nil
+}
+
+func (b *bookBackend) Book() *ticket.Book { return b.book }
+
+func (b *bookBackend) Status(context.Context) (*pb.StatusResponse, error) {
+	return &pb.StatusResponse{
+		Revision:    4,
+		Leader:      "control-1",
+		Subscribers: []*pb.SubscriberStatus{{Name: "router-1", Kind: "router", Revision: 3, AgeMs: 200}},
+		Endpoints:   []*pb.Endpoint{{Name: "engine-1", Group: "rally-text", State: pb.EndpointState_ENDPOINT_STATE_ACTIVE}},
+	}, nil
+}
+
+func (b *bookBackend) Drain(_ context.Context, endpoint string, _ bool) (pb.EndpointState, error) {
+	if endpoint != "engine-1" {
+		return 0, &admin.NotFoundError{Object: "endpoint " + endpoint}
+	}
+	return pb.EndpointState_ENDPOINT_STATE_DRAINING, nil
+}
+
+func (b *bookBackend) AddHost(context.Context, uint64, string) error {
+	b.hostCalls.Add(1)
+	return nil
+}
+
+func (b *bookBackend) RemoveHost(context.Context, uint64) error { return nil }
+
+func (b *bookBackend) Revisions(ctx context.Context, _ uint64) (uint64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// losing carries out each call and cuts the connection before its answer.
+func losing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	})
+}
+
+var _ = Describe("the tool", func() {
+	var (
+		back  *bookBackend
+		token string
+		url   string // answers
+		lossy string // carries out and loses the answer
+		dead  string // refuses connections
+	)
+	BeforeEach(func() {
+		back = &bookBackend{book: ticket.NewBook()}
+		sum := sha256.Sum256([]byte("desk-token"))
+		auth := admin.Auth{Tokens: []admin.Token{{
+			Name: "rally-desk", Hash: hex.EncodeToString(sum[:]), Roles: []admin.Role{admin.RoleSubmit, admin.RoleDrain},
+		}}}
+		_, handler := admin.NewHandler(back, auth, slog.New(slog.DiscardHandler))
+		server, loser := httptest.NewServer(handler), httptest.NewServer(losing(handler))
+		gone := httptest.NewServer(handler)
+		gone.Close()
+		DeferCleanup(server.Close)
+		DeferCleanup(loser.Close)
+		url, lossy, dead = server.URL, loser.URL, gone.URL
+		token = filepath.Join(GinkgoT().TempDir(), "token")
+		Expect(os.WriteFile(token, []byte("desk-token\n"), 0o600)).To(Succeed())
+	})
+
+	// run returns what a command prints, its error and its exit code.
+	run := func(arguments ...string) (string, int, error) {
+		GinkgoHelper()
+		var out bytes.Buffer
+		parser, err := kong.New(&cli{}, kong.BindTo(&out, (*io.Writer)(nil)))
+		Expect(err).NotTo(HaveOccurred())
+		ctx, err := parser.Parse(arguments)
+		Expect(err).NotTo(HaveOccurred())
+		err = ctx.Run()
+		code := 0
+		if err != nil {
+			code = exitFailed
+		}
+		var coded codedError
+		if errors.As(err, &coded) {
+			code = coded.ExitCode()
+		}
+		return out.String(), code, err
+	}
+	const first, faulty = "../../examples/rally/ticket-001.toml", "../../examples/rally/ticket-002-refused.toml"
+
+	DescribeTable("tells accepted, refused, unreachable and unknown apart",
+		func(arguments func() []string, want int, text string) {
+			out, code, err := run(append(arguments(), "--token-file", token)...)
+			Expect(code).To(Equal(want), out)
+			if err != nil {
+				out += err.Error()
+			}
+			Expect(out).To(ContainSubstring(text))
+		},
+		Entry("accepted", func() []string { return []string{"ticket", "submit", first, "--control", url} },
+			0, "ticket 1 accepted, in force from revision 1"),
+		Entry("accepted at the second host", func() []string { return []string{"ticket", "submit", first, "--control", dead, "--control", url} },
+			0, "ticket 1 accepted"),
+		Entry("answer lost, repeated elsewhere", func() []string { return []string{"ticket", "submit", first, "--control", lossy, "--control", url} },
+			0, "this is the first verdict again"),
+		Entry("answer lost", func() []string { return []string{"ticket", "submit", first, "--control", lossy} },
+			exitUnknown, "safe to repeat"),
+		Entry("answer lost, the other host gone", func() []string { return []string{"ticket", "submit", first, "--control", lossy, "--control", dead} },
+			exitUnknown, "safe to repeat"),
+		Entry("unreachable", func() []string { return []string{"ticket", "submit", first, "--control", dead} },
+			exitUnreachable, "nothing was changed"),
+		Entry("refused", func() []string { return []string{"ticket", "submit", faulty, "--control", url} },
+			exitRefused, "did you mean \"club\"?"),
+		Entry("checked", func() []string { return []string{"ticket", "check", first, "--control", url} },
+			0, "class/stage-updates tier: 0 -> 1"),
+		Entry("checked and faulty", func() []string { return []string{"ticket", "check", faulty, "--control", url} },
+			exitRefused, "refused as a whole"),
+		Entry("checked without an answer", func() []string { return []string{"ticket", "check", first, "--control", lossy} },
+			exitUnreachable, "nothing was changed"),
+		Entry("status", func() []string { return []string{"status", "--control", url} },
+			0, "router-1    router  3         1       200 ms ago"),
+		Entry("drained", func() []string { return []string{"drain", "engine-1", "--control", url} },
+			0, "engine-1 is draining"),
+		Entry("drain of nothing", func() []string { return []string{"drain", "engine-9", "--control", url} },
+			exitRefused, "endpoint engine-9 does not exist"),
+		Entry("host added", func() []string { return []string{"host", "add", "4", "http://10.0.0.4:7400", "--control", url} },
+			0, "control host 4 was added"),
+		Entry("host removed", func() []string { return []string{"host", "remove", "4", "--control", url} },
+			0, "control host 4 was taken out"),
+	)
+
+	It("does not repeat a change of hosts whose answer was lost", func() {
+		_, code, err := run("host", "add", "4", "http://10.0.0.4:7400", "--control", lossy, "--control", url, "--token-file", token)
+		Expect(code).To(Equal(exitUnknown))
+		Expect(err).To(MatchError(ContainSubstring("trefoilkeel status")))
+		Expect(back.hostCalls.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("says that nothing was changed if no host could record the ticket", func() {
+		back.notRecorded = true
+		_, code, _ := run("ticket", "submit", first, "--control", url, "--token-file", token)
+		Expect(code).To(Equal(exitUnreachable))
+	})
+
+	It("refuses without a token", func() {
+		_, code, _ := run("ticket", "submit", first, "--control", url)
+		Expect(code).To(Equal(exitRefused))
+	})
+
+	It("shows a configuration that is a ticket again, and the history", func() {
+		_, code, _ := run("ticket", "submit", first, "--control", url, "--token-file", token)
+		Expect(code).To(Equal(0))
+		shown, code, _ := run("ticket", "show", "--control", url, "--token-file", token)
+		Expect(code).To(Equal(0))
+		again := filepath.Join(GinkgoT().TempDir(), "again.toml")
+		Expect(os.WriteFile(again, []byte(shown), 0o600)).To(Succeed())
+		out, code, _ := run("ticket", "check", again, "--control", url, "--token-file", token)
+		Expect(code).To(Equal(0))
+		Expect(out).To(ContainSubstring("ticket 2 would be accepted, changes: 0"))
+
+		out, code, _ = run("ticket", "history", "--json", "--control", url, "--token-file", token)
+		Expect(code).To(Equal(0))
+		var list struct{ Tickets []struct{ Author string } }
+		Expect(json.Unmarshal([]byte(out), &list)).To(Succeed())
+		Expect(list.Tickets).To(HaveLen(1))
+		Expect(list.Tickets[0].Author).To(Equal("rally-desk"))
+	})
+
+	It("makes a key whose hash a ticket takes", func() {
+		out, code, _ := run("keys", "new", "--json")
+		Expect(code).To(Equal(0))
+		var made newKey
+		Expect(json.Unmarshal([]byte(out), &made)).To(Succeed())
+		sum := sha256.Sum256([]byte(made.Key))
+		Expect(made.Hash).To(Equal(hex.EncodeToString(sum[:])))
+	})
+})
--- a/internal/ticket/codec.go
+++ b/internal/ticket/codec.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 )
 
@@ -46,6 +47,17 @@
 // String writes the duration with its unit.
 func (d Duration) String() string { return time.Duration(d).String() }
 
+// EncodeTOML writes a ticket as an operator writes it.
+func EncodeTOML(t *Ticket) ([]byte, error) {
+	var text bytes.Buffer
+	encoder := toml.NewEncoder(&text)
+	encoder.Indent = ""
+	if err := encoder.Encode(t); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return text.Bytes(), nil
+}
+
 // Encode writes the ticket in its canonical form for the wire and the log.
 func Encode(t *Ticket) ([]byte, error) { return json.Marshal(t) }
 
--- a/internal/ticket/diff.go
+++ b/internal/ticket/diff.go
@@ -58,7 +58,7 @@
 func diffFields(changes []Change, object string, a, b any) []Change {
 	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
 	for i := range va.NumField() {
-		field := va.Type().Field(i).Tag.Get("toml")
+		field, _, _ := strings.Cut(va.Type().Field(i).Tag.Get("toml"), ",")
 		before, after := fieldText(va.Field(i)), fieldText(vb.Field(i))
 		if before != after && field != "name" {
 			changes = append(changes, Change{Object: object, Field: field, Before: before, After: after})
--- a/internal/ticket/object.go
+++ b/internal/ticket/object.go
@@ -72,9 +72,9 @@
 // a field left out means unbounded.
 type Limit struct {
 	Name              string `toml:"name" json:"name"`
-	RequestsPerSecond int    `toml:"requests_per_second" json:"requests_per_second,omitempty"`
-	Concurrency       int    `toml:"concurrency" json:"concurrency,omitempty"`
-	TokensPerSecond   int    `toml:"tokens_per_second" json:"tokens_per_second,omitempty"`
+	RequestsPerSecond int    `toml:"requests_per_second,omitzero" json:"requests_per_second,omitempty"`
+	Concurrency       int    `toml:"concurrency,omitzero" json:"concurrency,omitempty"`
+	TokensPerSecond   int    `toml:"tokens_per_second,omitzero" json:"tokens_per_second,omitempty"`
 }
 
 // Kind names a kind of object.
@@ -102,16 +102,16 @@
 	Number         uint64          `toml:"number" json:"number"`
 	Author         string          `toml:"author" json:"author"`
 	Summary        string          `toml:"summary" json:"summary"`
-	Classes        []Class         `toml:"class" json:"class,omitempty"`
-	Workspaces     []Workspace     `toml:"workspace" json:"workspace,omitempty"`
-	Models         []Model         `toml:"model" json:"model,omitempty"`
-	Services       []Service       `toml:"service" json:"service,omitempty"`
-	EndpointGroups []EndpointGroup `toml:"endpoint_group" json:"endpoint_group,omitempty"`
-	Limits         []Limit         `toml:"limit" json:"limit,omitempty"`
-	Removals       []Removal       `toml:"remove" json:"remove,omitempty"`
+	Classes        []Class         `toml:"class,omitempty" json:"class,omitempty"`
+	Workspaces     []Workspace     `toml:"workspace,omitempty" json:"workspace,omitempty"`
+	Models         []Model         `toml:"model,omitempty" json:"model,omitempty"`
+	Services       []Service       `toml:"service,omitempty" json:"service,omitempty"`
+	EndpointGroups []EndpointGroup `toml:"endpoint_group,omitempty" json:"endpoint_group,omitempty"`
+	Limits         []Limit         `toml:"limit,omitempty" json:"limit,omitempty"`
+	Removals       []Removal       `toml:"remove,omitempty" json:"remove,omitempty"`
 	// AllowStranding accepts a change that leaves running work without a
 	// class, model or endpoint group.
-	AllowStranding bool `toml:"allow_stranding" json:"allow_stranding,omitempty"`
+	AllowStranding bool `toml:"allow_stranding,omitempty" json:"allow_stranding,omitempty"`
 }
 
 // State is the whole configuration at one revision. It is immutable once
