--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/peer.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/peer.connect.go
@@ -37,6 +37,9 @@
 	PeerServiceStepProcedure = "/trefoilkeel.v1.PeerService/Step"
 	// PeerServiceProposeProcedure is the fully-qualified name of the PeerService's Propose RPC.
 	PeerServiceProposeProcedure = "/trefoilkeel.v1.PeerService/Propose"
+	// PeerServiceChangeMemberProcedure is the fully-qualified name of the PeerService's ChangeMember
+	// RPC.
+	PeerServiceChangeMemberProcedure = "/trefoilkeel.v1.PeerService/ChangeMember"
 )
 
 // PeerServiceClient is a client for the trefoilkeel.v1.PeerService service.
@@ -45,6 +48,8 @@
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 	// Propose forwards a command to the leader and answers once it is applied.
 	Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error)
+	// ChangeMember forwards a change of the set of hosts to the leader.
+	ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the trefoilkeel.v1.PeerService service. By default,
@@ -70,13 +75,20 @@
 			connect.WithSchema(peerServiceMethods.ByName("Propose")),
 			connect.WithClientOptions(opts...),
 		),
+		changeMember: connect.NewClient[v1.ChangeMemberRequest, v1.ChangeMemberResponse](
+			httpClient,
+			baseURL+PeerServiceChangeMemberProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ChangeMember")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	step    *connect.Client[v1.StepRequest, v1.StepResponse]
-	propose *connect.Client[v1.ProposeRequest, v1.ProposeResponse]
+	step         *connect.Client[v1.StepRequest, v1.StepResponse]
+	propose      *connect.Client[v1.ProposeRequest, v1.ProposeResponse]
+	changeMember *connect.Client[v1.ChangeMemberRequest, v1.ChangeMemberResponse]
 }
 
 // Step calls trefoilkeel.v1.PeerService.Step.
@@ -89,12 +101,19 @@
 	return c.propose.CallUnary(ctx, req)
 }
 
+// ChangeMember calls trefoilkeel.v1.PeerService.ChangeMember.
+func (c *peerServiceClient) ChangeMember(ctx context.Context, req *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error) {
+	return c.changeMember.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the trefoilkeel.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Step delivers a batch of agreement messages.
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 	// Propose forwards a command to the leader and answers once it is applied.
 	Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error)
+	// ChangeMember forwards a change of the set of hosts to the leader.
+	ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -116,12 +135,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("Propose")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceChangeMemberHandler := connect.NewUnaryHandler(
+		PeerServiceChangeMemberProcedure,
+		svc.ChangeMember,
+		connect.WithSchema(peerServiceMethods.ByName("ChangeMember")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trefoilkeel.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceStepProcedure:
 			peerServiceStepHandler.ServeHTTP(w, r)
 		case PeerServiceProposeProcedure:
 			peerServiceProposeHandler.ServeHTTP(w, r)
+		case PeerServiceChangeMemberProcedure:
+			peerServiceChangeMemberHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +165,7 @@
 func (UnimplementedPeerServiceHandler) Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.Propose is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.ChangeMember is not implemented"))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,6 +29,8 @@
 	Commit    uint64
 	Applied   uint64
 	Members   []Member
+	Voter     bool   // the data folder of this replica counts
+	Reason    string // why this replica can't take proposals now, "" if it can
 }
 
 // Member is one control host of the log.
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a log of one host", func() {
+	It("gives the results and keeps the commands over restarts, with and without a snapshot", func() {
+		c := newCluster(GinkgoTB(), 1, func(o *Options) { o.SnapshotEntries = 64 })
+		var want []string
+		for round := range 3 {
+			for i := range 50 {
+				want = append(want, fmt.Sprintf("%d-%d", round, i))
+				c.propose(1, want[len(want)-1])
+			}
+			c.kill(1)
+			c.start(1, true)
+			c.leader()
+			Expect(c.hosts[1].machine.list()).To(Equal(want))
+		}
+	})
+
+	It("says that a stopped replica recorded nothing or does not know", func() {
+		c := newCluster(GinkgoTB(), 1, nil)
+		c.propose(1, "a")
+		r := c.hosts[1].replica
+		c.kill(1)
+		_, err := r.Propose(context.Background(), []byte("b"))
+		Expect(err).To(BeAssignableToTypeOf(&NotRecorded{}))
+		_, _, ok := r.Leading()
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("a log of three hosts", func() {
+	It("takes commands anywhere and survives the loss of its leader", func() {
+		c := newCluster(GinkgoTB(), 3, nil)
+		c.voters(3)
+		var want []string
+		for i := range 30 {
+			want = append(want, fmt.Sprint("first ", i))
+			c.propose(uint64(i%3+1), want[i])
+		}
+		lost := c.leader().id
+		c.kill(lost)
+		for i := range 30 {
+			want = append(want, fmt.Sprint("second ", i))
+			c.propose((lost+uint64(i%2))%3+1, want[30+i])
+		}
+		c.start(lost, true)
+		c.voters(3)
+		for id := range c.hosts {
+			Eventually(c.hosts[id].machine.list, waitLong, 5*time.Millisecond).Should(Equal(want))
+		}
+	})
+
+	It("admits an emptied host as a learner, and outlives another one right after", func() {
+		c := newCluster(GinkgoTB(), 3, func(o *Options) { o.SnapshotEntries = 16 })
+		c.voters(3)
+		var want []string
+		add := func(id uint64, count int) {
+			for range count {
+				want = append(want, fmt.Sprint(len(want)))
+				c.propose(id, want[len(want)-1])
+			}
+		}
+		add(1, 100)
+		emptied := c.leader().id%3 + 1
+		c.kill(emptied)
+		Expect(os.RemoveAll(c.hosts[emptied].dir)).To(Succeed())
+		c.start(emptied, true)
+		Eventually(func() bool { return c.hosts[emptied].replica.Status().Voter }, waitLong).Should(BeTrue())
+		c.kill(c.leader().id)
+		add(emptied, 10)
+		Eventually(c.hosts[emptied].machine.list, waitLong).Should(Equal(want))
+	})
+
+	It("refuses to go on when a quorum of the folders is empty, and says why", func() {
+		c := newCluster(GinkgoTB(), 3, nil)
+		c.voters(3)
+		c.propose(1, "a")
+		Eventually(c.hosts[3].machine.list, waitLong).Should(Equal([]string{"a"}))
+		for _, id := range []uint64{1, 2} {
+			c.kill(id)
+		}
+		for _, id := range []uint64{1, 2} {
+			Expect(os.RemoveAll(c.hosts[id].dir)).To(Succeed())
+			c.start(id, true)
+		}
+		_, err := c.hosts[1].replica.Propose(context.Background(), []byte("b"))
+		Expect(err).To(BeAssignableToTypeOf(&NotRecorded{}))
+		Expect(err.Error()).To(ContainSubstring("[3]"))
+		Expect(c.hosts[2].replica.Status().Reason).To(ContainSubstring("data folder is empty"))
+		Expect(c.hosts[3].machine.list()).To(Equal([]string{"a"}))
+	})
+
+	It("hands over, adds and removes hosts", func() {
+		c := newCluster(GinkgoTB(), 3, nil)
+		c.voters(3)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLong)
+		defer cancel()
+		old := c.leader()
+		Expect(old.replica.TransferLeadership(ctx)).To(Succeed())
+		Expect(c.leader().id).NotTo(Equal(old.id))
+		added := &host{id: 4, dir: GinkgoTB().TempDir()}
+		c.listen(added)
+		c.hosts[4] = added
+		Expect(old.replica.AddMember(ctx, 4, added.url)).To(Succeed())
+		c.start(4, false)
+		c.voters(4)
+		leader := c.leader()
+		Expect(leader.replica.RemoveMember(ctx, leader.id)).To(Succeed())
+		c.kill(leader.id)
+		c.voters(3)
+		c.propose(4, "after")
+	})
+})
