Let the score see the oldest wait and the time between tokens

Cause: an engine that slowed down fourfold started nothing for seconds, so its means stayed those of before and routers kept choosing it. Change: the wait of a tier is at least how long one of it has waited there; Load carries the mean time between tokens, and one over the class's target counts against the endpoint.

--- a/internal/flow/queue.go
+++ b/internal/flow/queue.go
@@ -16,6 +16,7 @@
 	classes      map[string]*classEstimate
 	service      mean
 	firstToken   mean
+	between      mean
 	limit        limiter
 	sinceAged    int // starts since the last aged one
 	sequence     uint64
@@ -86,6 +87,7 @@
 	}
 	between := now.Sub(it.tokenAt) / time.Duration(n)
 	it.tokenAt = now
+	q.between.add(between)
 	q.limit.token(now, between, len(q.running))
 	q.settle(now)
 	return q.actions
@@ -177,11 +179,12 @@
 func (q *Queue) Load(now time.Time) *pb.Load {
 	q.sequence++
 	load := &pb.Load{
-		Running:       uint32(len(q.running)),
-		Slots:         uint32(q.limit.slots()),
-		ServiceTimeUs: micros(q.service.value),
-		FirstTokenUs:  micros(q.firstToken.value),
-		Sequence:      q.sequence,
+		Running:         uint32(len(q.running)),
+		Slots:           uint32(q.limit.slots()),
+		ServiceTimeUs:   micros(q.service.value),
+		FirstTokenUs:    micros(q.firstToken.value),
+		Sequence:        q.sequence,
+		BetweenTokensUs: micros(q.between.value),
 	}
 	for tier := highestTier; tier <= lowestTier; tier++ {
 		t := q.tiers[tier]
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -114,10 +114,15 @@
 	return best, bestScore
 }
 
+// betweenTarget is the target between tokens of a class; 0 if there is none.
+func (t *Table) betweenTarget(class string) time.Duration {
+	return time.Duration(t.classes[class].BetweenTokensTarget)
+}
+
 // score appends the estimate for e and returns it.
 func (t *Table) score(e *endpoint, r *Request) Score {
 	s := Score{Endpoint: e.described.GetName(), Own: e.own, Wait: e.wait(r.Tier)}
-	s.Cost = s.Wait + e.firstTokenCost(r.Tier)
+	s.Cost = s.Wait + e.firstTokenCost(r.Tier) + e.tooSlow(t.betweenTarget(r.Class))
 	if !e.own {
 		s.Cost += t.config.DomainCost
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -54,6 +54,22 @@
 	if e.load == nil {
 		return 0
 	}
+	return max(e.queueTime(tier), e.oldestWait(tier))
+}
+
+// oldestWait is how long a request of the tier or above has waited there.
+func (e *endpoint) oldestWait(tier int) time.Duration {
+	oldest := uint64(0)
+	for _, t := range e.load.GetTiers() {
+		if int(t.GetTier()) <= tier {
+			oldest = max(oldest, t.GetOldestWaitUs())
+		}
+	}
+	return time.Duration(oldest) * time.Microsecond
+}
+
+// queueTime is the time to serve what is ahead of a request of the tier.
+func (e *endpoint) queueTime(tier int) time.Duration {
 	slots := max(int(e.load.GetSlots()), 1)
 	interval := e.serviceTime() / time.Duration(slots)
 	if ahead := e.demand(tier) - slots; ahead >= 0 {
@@ -94,6 +110,19 @@
 	return time.Duration(e.load.GetFirstTokenUs()) * time.Microsecond
 }
 
+// tooSlow is what a request loses by a time between tokens over its target.
+func (e *endpoint) tooSlow(target time.Duration) time.Duration {
+	between := time.Duration(e.load.GetBetweenTokensUs()) * time.Microsecond
+	if target <= 0 || between <= target {
+		return 0
+	}
+	return slowWeight * (between - target)
+}
+
+// slowWeight is how much time to first token a request would give up for a
+// shorter time between tokens.
+const slowWeight = 10
+
 // lowerTier says that something below the tier waits or runs there.
 func (e *endpoint) lowerTier(tier int) bool {
 	for _, t := range e.load.GetTiers() {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -36,6 +36,7 @@
 	config    Config
 	endpoints map[string]*endpoint
 	pools     map[target][]pool
+	classes   map[string]ticket.Class
 	budget    *Budget
 	fit       []*endpoint // scratch of Choose
 	scores    []Score     // scratch of Choose
@@ -63,6 +64,7 @@
 	if state == nil {
 		return
 	}
+	t.classes = state.Classes
 	groups := map[string]*group{}
 	for _, described := range endpoints {
 		e := before[described.GetName()]
