Give a request back once while another endpoint may start it in time

Cause: what waited at an engine when it slowed down sat there until its patience ended. Change: a first attempt with MayMove that has waited half of the time to its target is refused as busy, which is never passed to a caller, and the router tries another endpoint.

--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -11,13 +11,30 @@
 // settle starts what fits, preempts for what cannot wait, and expires what is due.
 func (q *Queue) settle(now time.Time) {
 	q.fill(now)
+	q.move(now)
 	q.rescue(now)
-	for tier := lowestTier; tier >= highestTier; tier-- {
-		q.tiers[tier].age(now)
-	}
+	q.age(now)
 	q.expire(now)
 }
 
+// move gives requests back to their routers that would start late here.
+func (q *Queue) move(now time.Time) {
+	for _, t := range q.tiers[highestTier:] {
+		for it := t.target.head(); due(it, byTarget, now) && it.MayMove && !it.ran; it = t.target.head() {
+			q.refuse(it, Busy)
+		}
+	}
+}
+
+// age moves the requests that can no longer meet their target to the late ones.
+func (q *Queue) age(now time.Time) {
+	for _, t := range q.tiers[highestTier:] {
+		for it := t.overdue(now); it != nil; it = t.overdue(now) {
+			t.addLate(it)
+		}
+	}
+}
+
 // fill starts requests while there are slots.
 func (q *Queue) fill(now time.Time) {
 	for len(q.running) < q.limit.slots() {
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// movePart of the time to its target is what a request that may move waits.
+const movePart = 2
+
 // tier holds the waiting requests of one tier.
 type tier struct {
 	onTime, late *fair
@@ -34,7 +37,11 @@
 		t.onTime.add(it)
 		return
 	}
-	startBy := it.Arrived.Add(it.FirstTokenTarget - firstToken)
+	slack := it.FirstTokenTarget - firstToken
+	if it.MayMove {
+		slack /= movePart
+	}
+	startBy := it.Arrived.Add(slack)
 	it.key[byTarget] = startBy.UnixNano()
 	it.late = !startBy.After(now)
 	if it.late {
@@ -57,19 +64,23 @@
 	t.onTime.remove(it)
 }
 
-// age moves the requests that can no longer meet their target to the late ones.
-func (t *tier) age(now time.Time) {
-	for {
-		it := t.target.head()
-		if it == nil || it.key[byTarget] > now.UnixNano() {
-			return
-		}
-		t.target.remove(it)
-		t.onTime.remove(it)
-		it.late = true
-		it.key[byOrder] = it.StartBy.UnixNano()
-		t.late.add(it)
+// overdue takes a request that can no longer meet its target out of those on
+// time; nil if there is none. The caller adds it to the late ones or refuses it.
+func (t *tier) overdue(now time.Time) *item {
+	it := t.target.head()
+	if !due(it, byTarget, now) {
+		return nil
 	}
+	t.target.remove(it)
+	t.onTime.remove(it)
+	return it
+}
+
+// addLate puts a request that overdue returned among the late ones.
+func (t *tier) addLate(it *item) {
+	it.late = true
+	it.key[byOrder] = it.StartBy.UnixNano()
+	t.late.add(it)
 }
 
 // take removes the request that is to start next; nil if none waits.
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -186,6 +186,9 @@
 func (w *world) digest() {
 	state := ticket.NewState()
 	state.EndpointGroups["g"] = ticket.EndpointGroup{Name: "g", Workspaces: []string{"*"}, Models: []string{"m"}}
+	for _, c := range w.scenario.classes {
+		state.Classes[c.name] = ticket.Class{Name: c.name, BetweenTokensTarget: ticket.Duration(c.between)}
+	}
 	var list []*pb.Endpoint
 	for i, e := range w.engines {
 		list = append(list, &pb.Endpoint{
@@ -282,9 +285,8 @@
 			w.failed(e, j)
 			return
 		}
-		w.dispatched++
 		j.at = i
-		j.request.MayMove = w.policy.move && len(j.tried) < 2
+		j.request.MayMove = w.policy.move && len(j.tried) == 0
 		w.act(e, e.queue.Arrive(w.now, j.request))
 	})
 }
@@ -327,6 +329,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case flow.Start:
+			w.dispatched++
 			j := w.jobs[a.ID]
 			w.tallies[j.class.name].starts = append(w.tallies[j.class.name].starts, w.now.Sub(modelEpoch))
 			j.started = w.now
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -65,7 +65,7 @@
 }
 
 func full() policy {
-	return policy{name: "full", walk: true, flow: flow.Config{Slots: 32, Adaptive: true},
+	return policy{name: "full", walk: true, move: true, flow: flow.Config{Slots: 32, Adaptive: true},
 		routing: routing.Config{}}
 }
 
@@ -79,6 +79,7 @@
 	}
 	return []policy{
 		baseline(), full(),
+		with("no-move", func(p *policy) { p.move = false }),
 		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
 		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
 		with("least-cost", func(p *policy) { p.routing.Choices = 1000 }),
