Preempt for a target up to twice the work that it serves

Cause: with six of twelve engines left, most running work was older than the top class's own answers and so was never preempted. Change: the work thrown away may be twice that of the answer it makes room for.

--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-const worthPart = 1
+// worthFactor of the time of an answer is how much work of lower tiers may be
+// thrown away for it to start in time.
+const worthFactor = 2
 
 // rescue preempts lower tiers for requests that are about to miss their
 // target or to pass their patience.
@@ -20,9 +22,9 @@
 }
 
 // worth is how much work of a lower tier may be thrown away for a request to
-// meet its target: a part of the time that its own answer takes.
+// meet its target: a multiple of the time that its own answer takes.
 func (q *Queue) worth(it *item) time.Duration {
-	return max(q.class(it.Class).service.value/worthPart, time.Millisecond)
+	return max(worthFactor*q.class(it.Class).service.value, time.Millisecond)
 }
 
 func due(it *item, kind int, now time.Time) bool {
