--- /dev/null
+++ b/cmd/trefoilkeel/experiment.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/experiment"
+)
+
+// experimentCommand groups the experiments.
+type experimentCommand struct {
+	Run experimentRunCommand `cmd:"" help:"Run a scenario on loopback and report what each class got."`
+}
+
+// experimentRunCommand runs one scenario.
+type experimentRunCommand struct {
+	Scenario     string `arg:"" type:"existingfile" help:"Scenario file (TOML)."`
+	Baseline     bool   `help:"Run the same arrivals through round robin without tiers as well."`
+	BaselineOnly bool   `help:"Run only the baseline."`
+	Seed         uint64 `help:"Seed of the arrivals; 0: the scenario's own."`
+	Report       string `help:"Write the report as JSON to this file."`
+	HTML         string `name:"html" help:"Write the report as a page with plots to this file."`
+	Verbose      bool   `help:"Log the system's own lines to stderr."`
+}
+
+// Run runs the scenario, prints the figures and writes the reports.
+func (c *experimentRunCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	options := experiment.Options{
+		Path: c.Scenario, Seed: c.Seed, Baseline: c.Baseline, Progress: os.Stderr, Logger: c.logger(),
+	}
+	if !c.BaselineOnly {
+		options.Start = startEmbedded(options.Logger)
+	}
+	report, err := experiment.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	report.WriteText(os.Stdout)
+	if err := writeFile(c.Report, report.WriteJSON); err != nil {
+		return err
+	}
+	return writeFile(c.HTML, report.WriteHTML)
+}
+
+func (c *experimentRunCommand) logger() *slog.Logger {
+	level := slog.LevelError
+	if c.Verbose {
+		level = slog.LevelInfo
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
+
+// writeFile writes one report unless no file is named.
+func writeFile(path string, write func(io.Writer) error) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create the report")
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, "write the report")
+	}
+	return errors.Wrap(file.Close(), "close the report")
+}
--- a/cmd/trefoilkeel/main.go
+++ b/cmd/trefoilkeel/main.go
@@ -9,8 +9,9 @@
 
 // cli lists the commands; each is defined in a file of its own.
 type cli struct {
-	Version versionCommand `cmd:"" help:"Print the version."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in engine or service, for tests and trials."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
+	Standin    standinCommand    `cmd:"" help:"Run a stand-in engine or service, for tests and trials."`
+	Experiment experimentCommand `cmd:"" help:"Measure the system under load and faults."`
 }
 
 func main() {
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -18,6 +18,7 @@
 	medianTokens  = 40   // median of the length law
 	lengthSigma   = 0.9  // spread of the length law, log-normal
 	maxTokens     = 4096 // longest answer of the length law
+	hashBits      = 48   // bits of a prompt hash
 	lengthMarker  = "[tokens="
 	firstTokenTag = " w0-"
 )
@@ -42,7 +43,7 @@
 func PromptHash(prompt string) string {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(prompt))
-	return fmt.Sprintf("%08x", uint32(h.Sum64()^h.Sum64()>>32))
+	return fmt.Sprintf("%012x", (h.Sum64()^h.Sum64()>>hashBits)&(1<<hashBits-1))
 }
 
 // Length is the number of tokens of the answer to prompt; a limit of 0 means
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -31,11 +31,11 @@
 
 // Fault is the body of POST /standin/fault.
 type Fault struct {
-	Kind        FaultKind `json:"kind"`
-	Count       int       `json:"count"`        // requests to strike, 0 means 1
-	Factor      float64   `json:"factor"`       // for slow, at least 1
-	DelayMS     int64     `json:"delay_ms"`     // in milliseconds
-	AfterTokens int       `json:"after_tokens"` // for crash_mid, at least 1
+	Kind        FaultKind `json:"kind" toml:"kind"`
+	Count       int       `json:"count" toml:"count"`               // requests to strike, 0 means 1
+	Factor      float64   `json:"factor" toml:"factor"`             // for slow, at least 1
+	DelayMS     int64     `json:"delay_ms" toml:"delay_ms"`         // in milliseconds
+	AfterTokens int       `json:"after_tokens" toml:"after_tokens"` // for crash_mid, at least 1
 }
 
 // FaultError says why a fault was not taken.
