--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -63,7 +63,6 @@
 	oneTier    bool // no tiers, first in first out
 	walk       bool // try other candidates after a refusal
 	move       bool // agents may bounce a request that would start late
-	leastWait  bool // the least loaded by the router's figures
 }
 
 type tally struct {
@@ -73,18 +72,17 @@
 }
 
 type job struct {
-	class     *class
-	request   flow.Request
-	router    int
-	prefix    uint64
-	length    int
-	made      int
-	joined    bool
-	first     time.Time
-	tried     []string
-	at        int
-	hops      int
-	preempted int
+	class   *class
+	request flow.Request
+	router  int
+	prefix  uint64
+	length  int
+	made    int
+	joined  bool
+	started time.Time
+	first   time.Time
+	tried   []string
+	at      int
 }
 
 type engineModel struct {
@@ -134,6 +132,7 @@
 	arrivals   int
 	violations []string
 	// onActions sees the actions of an engine's queue, for properties.
+	onEnd     func(j *job)
 	onActions func(e *engineModel, actions []flow.Action)
 }
 
@@ -330,6 +329,7 @@
 		case flow.Start:
 			j := w.jobs[a.ID]
 			w.tallies[j.class.name].starts = append(w.tallies[j.class.name].starts, w.now.Sub(modelEpoch))
+			j.started = w.now
 			e.joining = append(e.joining, j)
 			w.tick(e)
 		case flow.Preempt:
@@ -374,6 +374,9 @@
 		return
 	}
 	t.finished++
+	if w.onEnd != nil {
+		w.onEnd(j)
+	}
 	ttft := j.first.Sub(j.request.Arrived)
 	t.ttft = append(t.ttft, ttft)
 	between := time.Duration(0)
