Keep half as many slots again free, and say when a request may move

Cause: a peak of the past is often less than the next one, and work that cannot be stopped after its first token needs more room kept. Change: the headroom is 150% of the recent need; Decision.MayMove is true for first attempts with other candidates.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -25,7 +25,8 @@
 	Class     string
 	Workspace string
 	Share     int // weight of the workspace inside its tier, at least 1
-	Arrived   time.Time
+	// Arrived is when the caller asked, not when this agent got to know.
+	Arrived time.Time
 	// StartBy is when patience ends: a request that has not started is refused.
 	StartBy time.Time
 	// Deadline is when the answer must be whole.
@@ -38,8 +39,10 @@
 	PreemptibleAfterToken bool
 	FirstTokenTarget      time.Duration // 0: none
 	BetweenTokensTarget   time.Duration // 0: none
-	// MayMove says that other candidates are untried: the request is refused
-	// with Busy, for the router to try them, if its start would come too late.
+	// MayMove is for a first attempt with other candidates: the request is
+	// refused with Busy, for the router to try one of them, once it has waited
+	// half of the time to its target. Set on a later attempt as well, it leaves
+	// no time to preempt there.
 	MayMove bool
 }
 
@@ -122,7 +125,7 @@
 	defaultMaxWaitBytes   = 64 << 20
 	defaultAgedOneIn      = 10
 	defaultMaxPreemptions = 4
-	defaultHeadroom       = 100
+	defaultHeadroom       = 150
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -24,14 +24,15 @@
 	if len(t.fit) == 1 {
 		reason = ReasonOnly
 	}
-	return t.decide(now, best, reason)
+	return t.decide(&r, best, reason)
 }
 
-func (t *Table) decide(now time.Time, e *endpoint, reason string) (Decision, error) {
+func (t *Table) decide(r *Request, e *endpoint, reason string) (Decision, error) {
 	if e.ejected {
 		e.probing = true
 	}
-	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason}, nil
+	mayMove := len(r.Tried) == 0 && len(t.fit) > 1
+	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason, MayMove: mayMove}, nil
 }
 
 // filter fills t.fit and counts what was left out.
@@ -84,7 +85,7 @@
 		return Decision{}, &missing
 	}
 	t.score(best, r)
-	return t.decide(now, best, ReasonEjected)
+	return t.decide(r, best, ReasonEjected)
 }
 
 // partition puts the own failure domain first and returns its size.
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -62,6 +62,7 @@
 	roundRobin bool
 	oneTier    bool // no tiers, first in first out
 	walk       bool // try other candidates after a refusal
+	rigid      bool // nothing is preempted after its first token
 	move       bool // agents may bounce a request that would start late
 }
 
@@ -231,7 +232,7 @@
 		j := &job{class: c, length: min(length, 4000), router: r.IntN(w.scenario.routers), prefix: prefix, request: flow.Request{
 			ID: fmt.Sprintf("%s-%d", c.name, n), Tier: c.tier, Class: c.name, Workspace: workspace, Share: 1,
 			Arrived: arrived, StartBy: arrived.Add(c.patience), Deadline: arrived.Add(c.deadline), Bytes: 1000,
-			Preemptible: true, PreemptibleAfterToken: true, FirstTokenTarget: c.first, BetweenTokensTarget: c.between,
+			Preemptible: true, PreemptibleAfterToken: !w.policy.rigid, FirstTokenTarget: c.first, BetweenTokensTarget: c.between,
 		}}
 		if w.policy.oneTier {
 			j.request.Tier = 1
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -79,6 +79,12 @@
 	}
 	return []policy{
 		baseline(), full(),
+		with("rigid", func(p *policy) { p.rigid = true }),
+		with("headroom-100", func(p *policy) { p.flow.HeadroomPercent = 100 }),
+		with("no-headroom", func(p *policy) { p.flow.HeadroomPercent = -1 }),
+		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
+		with("fixed-16", func(p *policy) { p.flow = flow.Config{Slots: 16} }),
+		with("fixed-32", func(p *policy) { p.flow = flow.Config{Slots: 32} }),
 		with("no-move", func(p *policy) { p.move = false }),
 		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
 		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -47,6 +47,9 @@
 	Endpoint   *pb.Endpoint
 	Candidates []Score
 	Reason     string
+	// MayMove is true for a first attempt with other candidates, see
+	// flow.Request.
+	MayMove bool
 }
 
 // The reasons of a Decision.
