--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,7 +50,8 @@
 	queue    *queueDuty
 	logger   *slog.Logger
 	identity atomic.Pointer[identity]
-	draining atomic.Bool
+	draining atomic.Bool // a stop or a direct call asks for it
+	wanted   atomic.Bool // control asks for it
 	inFlight sync.WaitGroup
 	running  atomic.Int64
 	fence    fence
@@ -94,15 +95,29 @@
 // remember no more protected requests.
 func (a *Agent) OnRecordsFull(ask func()) { a.onFull.Store(&ask) }
 
-// SetDraining refuses new work from now on, or takes it again.
+// SetDraining refuses new work from now on, or takes it again. What waits is
+// refused as not run, so that its router moves it; what runs goes on.
 func (a *Agent) SetDraining(draining bool) {
 	if a.draining.Swap(draining) != draining {
 		a.logger.Info("drain", "draining", draining, "running", a.running.Load())
+		if draining {
+			a.queue.refuseWaiting(flow.Draining)
+		}
+	}
+}
+
+// SetWantedDrain takes over the operators' wish from control.
+func (a *Agent) SetWantedDrain(wanted bool) {
+	if a.wanted.Swap(wanted) != wanted {
+		a.logger.Info("drain wanted", "wanted", wanted, "running", a.running.Load())
+		if wanted {
+			a.queue.refuseWaiting(flow.Draining)
+		}
 	}
 }
 
 // Draining reports whether new work is refused.
-func (a *Agent) Draining() bool { return a.draining.Load() }
+func (a *Agent) Draining() bool { return a.draining.Load() || a.wanted.Load() }
 
 // Load returns the queue's figures, nil if ctx ends first.
 func (a *Agent) Load(ctx context.Context) *trefoilkeelv1.Load { return a.queue.load(ctx) }
--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -142,6 +142,11 @@
 	})
 }
 
+// refuseWaiting refuses everything that waits.
+func (d *queueDuty) refuseWaiting(reason flow.Reason) {
+	d.put(func(q *flow.Queue, now time.Time) []flow.Action { return q.RefuseWaiting(now, reason) })
+}
+
 // firstToken notes the first byte of an answer.
 func (d *queueDuty) firstToken(id string) {
 	d.put(func(q *flow.Queue, now time.Time) []flow.Action { return q.FirstToken(now, id) })
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, notRun(dispatch.InvalidRequest, http.StatusBadRequest, err.Error())
 	}
-	if a.draining.Load() {
+	if a.Draining() {
 		return nil, notRun(dispatch.Draining, http.StatusServiceUnavailable, "endpoint is leaving")
 	}
 	id := a.identity.Load()
