Run the whole path by one command

Cause: a newcomer has to see a request answered through every process. Two faults found on the way: heartbeats without the loaded models emptied the directory's list, and a process called itself ready at revision 0.

--- a/cmd/trefoilkeel/main.go
+++ b/cmd/trefoilkeel/main.go
@@ -11,6 +11,7 @@
 type cli struct {
 	Version versionCommand `cmd:"" help:"Print the version."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in engine or service, for tests and trials."`
+	Demo    demoCommand    `cmd:"" help:"Run a whole system on loopback and send it some requests."`
 }
 
 func main() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,8 @@
 	inFlight sync.WaitGroup
 	running  atomic.Int64
 	fence    fence
+	modelsMu sync.Mutex
+	models   []string // sorted; replaced, never changed
 	onFull   atomic.Pointer[func()]
 	tokens   atomic.Uint64 // engine tokens relayed
 	wasted   atomic.Uint64 // engine tokens that had no receiver
@@ -65,6 +68,7 @@
 func New(options Options) *Agent {
 	a := &Agent{options: options, client: engine.New(options.EndpointURL)}
 	a.logger = options.Logger.With("endpoint", options.Endpoint.GetName())
+	a.models = slices.Sorted(slices.Values(options.Endpoint.GetModels()))
 	a.queue = newQueueDuty(options.Flow, a.logAction)
 	return a
 }
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
@@ -45,6 +46,34 @@
 	}
 	_ = response.Body.Close()
 	accepted = response.StatusCode == http.StatusOK
+	if accepted {
+		a.loaded(order)
+	}
 	a.logger.Info("order", "order", order.GetId(), "kind", kind, "name", name, "fence", order.GetFence(), "accepted", accepted)
 	return accepted, newest
 }
+
+// loaded takes a carried out order into the list of models.
+func (a *Agent) loaded(order *trefoilkeelv1.Order) {
+	a.modelsMu.Lock()
+	defer a.modelsMu.Unlock()
+	at, present := slices.BinarySearch(a.models, order.GetModel())
+	switch order.GetKind() {
+	case trefoilkeelv1.OrderKind_ORDER_KIND_LOAD:
+		if !present {
+			a.models = slices.Insert(slices.Clone(a.models), at, order.GetModel())
+		}
+	case trefoilkeelv1.OrderKind_ORDER_KIND_UNLOAD:
+		if present {
+			a.models = slices.Delete(slices.Clone(a.models), at, at+1)
+		}
+	}
+}
+
+// Models lists what the endpoint serves now, sorted. The list is not changed
+// afterwards.
+func (a *Agent) Models() []string {
+	a.modelsMu.Lock()
+	defer a.modelsMu.Unlock()
+	return a.models
+}
--- a/internal/daemon/administration.go
+++ b/internal/daemon/administration.go
@@ -3,19 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"log"
-	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
 
-// maxServerLine bounds a line that net/http logs, in bytes: it may quote what
-// a peer has sent.
-const maxServerLine = 120
-
 // health is the answer of the administration listener.
 type health struct {
 	Process       string `json:"process"`
@@ -56,9 +49,7 @@
 func (d *Daemon) writeHealth(w http.ResponseWriter, status int) {
 	h := health{Process: d.settings.Process.Name, Ready: d.Ready()}
 	if d.client != nil {
-		if state := d.client.State(); state != nil {
-			h.Revision = state.Revision
-		}
+		h.Revision = d.Revision()
 		h.RevisionAgeMs = d.client.Age().Milliseconds()
 		h.Endpoints = len(d.client.Endpoints())
 	}
@@ -69,17 +60,29 @@
 
 // Ready reports whether every role of the process can take work.
 func (d *Daemon) Ready() bool {
+	if d.client != nil && d.Revision() == 0 {
+		return false
+	}
 	if d.router != nil && !d.router.router.Ready() {
 		return false
 	}
 	for _, a := range d.agents {
-		if a.agent.Incarnation() == 0 || a.agent.Draining() || d.client.State() == nil {
+		if a.agent.Incarnation() == 0 || a.agent.Draining() {
 			return false
 		}
 	}
 	return true
 }
 
+// Revision is the newest configuration revision applied by the process's
+// router and agents, 0 before the first ticket.
+func (d *Daemon) Revision() uint64 {
+	if d.client == nil || d.client.State() == nil {
+		return 0
+	}
+	return d.client.State().Revision
+}
+
 // RouterURL is the base URL for callers, "" without the role.
 func (d *Daemon) RouterURL() string { return listenURL(d.router.socket()) }
 
@@ -99,18 +102,3 @@
 
 // rpcClient returns a client for the calls between processes.
 func (d *Daemon) rpcClient() *http.Client { return rpc.Client(d.options.TLS) }
-
-// serverLog passes net/http's own lines on, cut short.
-func (d *Daemon) serverLog() *log.Logger { return log.New(shortWriter{d.logger}, "", 0) }
-
-// shortWriter logs the head of each line.
-type shortWriter struct {
-	logger *slog.Logger
-}
-
-// Write logs one line.
-func (s shortWriter) Write(line []byte) (int, error) {
-	text := strings.TrimSpace(string(line[:min(len(line), maxServerLine)]))
-	s.logger.Warn("http", "line", text)
-	return len(line), nil
-}
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -102,7 +102,7 @@
 	if a.agent.Draining() {
 		state = trefoilkeelv1.EndpointState_ENDPOINT_STATE_DRAINING
 	}
-	return follow.Report{Load: a.agent.Load(ctx), State: state}
+	return follow.Report{Load: a.agent.Load(ctx), State: state, Models: a.agent.Models()}
 }
 
 // run serves until ctx ends, then drains, leaves, and returns once nothing is
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -61,7 +61,7 @@
 		return
 	}
 	role.replica = log
-	role.server = control.New(control.Options{Machine: machine, Log: log, Logger: d.logger, HTTP: d.rpcClient()})
+	role.server = control.New(control.Options{Machine: machine, Log: log, Logger: d.logger, HTTP: d.rpcClient(), Auth: d.auth()})
 	d.tree.Add("control", role.run)
 }
 
@@ -95,7 +95,6 @@
 func (c *controlRole) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(c.replica.Handler())
-	mux.Handle(admin.NewHandler(c.server, c.daemon.auth(), c.daemon.logger))
 	mux.Handle("/", c.server.Handler())
 	return mux
 }
--- a/internal/daemon/embedded.go
+++ b/internal/daemon/embedded.go
@@ -187,10 +187,10 @@
 	return d, nil
 }
 
-// WaitReady returns once every router and agent can take work, or with the
-// cause of ctx. A configuration must have been accepted.
-func (e *Embedded) WaitReady(ctx context.Context) error {
-	for !e.ready() {
+// WaitReady returns once every router and agent can take work under the
+// revision or a newer one, or with the cause of ctx.
+func (e *Embedded) WaitReady(ctx context.Context, revision uint64) error {
+	for !e.ready(revision) {
 		select {
 		case <-time.After(readyPoll):
 		case <-ctx.Done():
@@ -201,9 +201,9 @@
 }
 
 // ready reports whether every process is ready and every router knows every endpoint.
-func (e *Embedded) ready() bool {
+func (e *Embedded) ready(revision uint64) bool {
 	for _, m := range e.members {
-		if !m.daemon.Ready() {
+		if !m.daemon.Ready() || (m.daemon.client != nil && m.daemon.Revision() < revision) {
 			return false
 		}
 	}
