Take the victim of a preemption from the lowest tier only

Change: the victim is always of the lowest tier that can be preempted, or none; the work that may be thrown away grows with the distance of the tiers; a shed takes a running lower request first.

--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -56,10 +56,16 @@
 	}
 }
 
-// shed brings the queue back under its bounds, lowest tier first.
-func (q *Queue) shed() {
+// shed brings the queue back under its bounds, lowest tier first. Running
+// requests that can be preempted count: one of a lower tier than all that
+// wait is stopped and shed in place of them.
+func (q *Queue) shed(now time.Time) {
 	for len(q.waiting) > q.config.MaxWaiting || q.waitingBytes > q.config.MaxWaitingBytes {
-		q.refuse(q.victim(), Overloaded)
+		victim := q.victim()
+		if q.preemptFor(now, victim.Tier, 0) {
+			victim = q.victim()
+		}
+		q.refuse(victim, Overloaded)
 	}
 }
 
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -51,20 +51,21 @@
 
 // preemptible returns the running request to preempt first: of the lowest
 // tier below the given one, the one that started last; nil if there is none.
-// lost bounds how long it has run, 0 for no bound.
+// lost bounds how long it has run for each tier of distance, 0 for no bound; a
+// request of another tier is never taken in place of one that has run too long.
 func (q *Queue) preemptible(now time.Time, above int, lost time.Duration) *item {
 	var best *item
 	for _, it := range q.running {
 		if it.Tier <= above || !q.mayPreempt(now, it) {
 			continue
 		}
-		if lost > 0 && now.Sub(it.startedAt) > lost {
-			continue
-		}
 		if best == nil || it.Tier > best.Tier || it.Tier == best.Tier && startedAfter(it, best) {
 			best = it
 		}
 	}
+	if best != nil && lost > 0 && now.Sub(best.startedAt) > lost*time.Duration(best.Tier-above) {
+		return nil
+	}
 	return best
 }
 
--- a/internal/flow/queue.go
+++ b/internal/flow/queue.go
@@ -57,7 +57,7 @@
 	q.limit.present(now, it)
 	q.enqueue(now, it)
 	q.settle(now)
-	q.shed()
+	q.shed(now)
 	return q.actions
 }
 
