--- a/cmd/trefoilkeel/experiment.go
+++ b/cmd/trefoilkeel/experiment.go
@@ -26,6 +26,7 @@
 	Seed         uint64 `help:"Seed of the arrivals; 0: the scenario's own."`
 	Report       string `help:"Write the report as JSON to this file."`
 	HTML         string `name:"html" help:"Write the report as a page with plots to this file."`
+	Calls        string `help:"Write the calls that missed their targets to this file, one JSON object a line."`
 	Verbose      bool   `help:"Log the system's own lines to stderr."`
 }
 
@@ -37,7 +38,7 @@
 		Path: c.Scenario, Seed: c.Seed, Baseline: c.Baseline, Progress: os.Stderr, Logger: c.logger(),
 	}
 	if !c.BaselineOnly {
-		options.Start = startEmbedded(options.Logger)
+		options.Start = experiment.StartEmbedded(options.Logger)
 	}
 	report, err := experiment.Run(ctx, options)
 	if err != nil {
@@ -47,6 +48,9 @@
 	if err := writeFile(c.Report, report.WriteJSON); err != nil {
 		return err
 	}
+	if err := writeFile(c.Calls, report.WriteCalls); err != nil {
+		return err
+	}
 	return writeFile(c.HTML, report.WriteHTML)
 }
 
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -46,6 +46,7 @@
 	Failures map[string]int `json:"failures,omitempty"`
 
 	series []point
+	missed []missedCall
 }
 
 // Report is a scenario's result; the baseline is absent unless asked for.
@@ -99,6 +100,7 @@
 	r.GoodputPerS = float64(attained) / duration.Seconds()
 	r.measureWork(o)
 	r.series = seriesOf(o)
+	r.missed = missedCalls(o)
 	return r
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -151,18 +151,16 @@
 	end := start.Add(time.Duration(d.scenario.Duration + d.scenario.Settle))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	urls := d.system.CallerURLs()
 	var group sync.WaitGroup
 	for i, a := range d.arrivals {
 		if !sleepUntil(ctx, start.Add(a.At)) {
 			break
 		}
 		for copy := range a.Copies {
-			base := urls[(i+copy)%len(urls)]
 			due := start.Add(a.At + time.Duration(copy)*repeatAfter)
 			group.Go(func() {
 				if sleepUntil(ctx, due) {
-					d.call(ctx, base, a, copy, due)
+					d.call(ctx, d.base(i+copy), a, copy, due)
 				}
 			})
 		}
@@ -170,6 +168,12 @@
 	group.Wait()
 }
 
+// base is the router that the platform's balancer gives the n-th call to.
+func (d *driver) base(n int) string {
+	urls := d.system.CallerURLs()
+	return urls[n%len(urls)]
+}
+
 func (d *driver) call(ctx context.Context, base string, a *Arrival, copy int, due time.Time) {
 	d.offered.Add(1)
 	c := d.caller.do(ctx, base, a, copy, due)
