--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -13,21 +13,26 @@
 		return t.lastResort(now, &r, missing)
 	}
 	own := t.partition()
-	best, reason := t.bestOfTwo(t.fit[:own], &r, rand)
-	if best == nil || t.scoreOf(best).Wait >= t.config.SpillWait {
-		other, _ := t.bestOfTwo(t.fit[own:], &r, rand)
-		if other != nil && (best == nil || t.scoreOf(other).Cost < t.scoreOf(best).Cost) {
+	best, score := t.bestOf(t.fit[:own], &r, rand)
+	reason := ReasonBetter
+	if best == nil || score.Cost >= t.config.SpillCost {
+		other, otherScore := t.bestOf(t.fit[own:], &r, rand)
+		if best == nil || other != nil && otherScore.Cost < score.Cost {
 			best, reason = other, ReasonSpill
 		}
 	}
-	return t.decide(now, best, reason)
+	if len(t.fit) == 1 {
+		reason = ReasonOnly
+	}
+	return t.decide(&r, best, reason)
 }
 
-func (t *Table) decide(now time.Time, e *endpoint, reason string) (Decision, error) {
+func (t *Table) decide(r *Request, e *endpoint, reason string) (Decision, error) {
 	if e.ejected {
 		e.probing = true
 	}
-	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason}, nil
+	mayMove := len(r.Tried) == 0 && len(t.fit) > 1
+	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason, MayMove: mayMove}, nil
 }
 
 // filter fills t.fit and counts what was left out.
@@ -80,7 +85,7 @@
 		return Decision{}, &missing
 	}
 	t.score(best, r)
-	return t.decide(now, best, ReasonEjected)
+	return t.decide(r, best, ReasonEjected)
 }
 
 // partition puts the own failure domain first and returns its size.
@@ -95,46 +100,33 @@
 	return own
 }
 
-// bestOfTwo scores two random endpoints of from and returns the better.
-func (t *Table) bestOfTwo(from []*endpoint, r *Request, rand Rand) (*endpoint, string) {
-	switch len(from) {
-	case 0:
-		return nil, ""
-	case 1:
-		t.score(from[0], r)
-		return from[0], ReasonOnly
-	}
-	i := rand.IntN(len(from))
-	j := rand.IntN(len(from) - 1)
-	if j >= i {
-		j++
-	}
-	a, b := t.score(from[i], r), t.score(from[j], r)
-	if b < a {
-		return from[j], ReasonBetter
+// bestOf scores a few random endpoints of from and returns the best. It
+// reorders from.
+func (t *Table) bestOf(from []*endpoint, r *Request, rand Rand) (*endpoint, Score) {
+	var best *endpoint
+	var bestScore Score
+	for i := range min(len(from), t.config.Choices) {
+		j := i + rand.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+		if s := t.score(from[i], r); best == nil || s.Cost < bestScore.Cost {
+			best, bestScore = from[i], s
+		}
 	}
-	return from[i], ReasonBetter
+	return best, bestScore
+}
+
+// betweenTarget is the target between tokens of a class; 0 if there is none.
+func (t *Table) betweenTarget(class string) time.Duration {
+	return time.Duration(t.classes[class].BetweenTokensTarget)
 }
 
-// score appends the estimate for e and returns its cost.
-func (t *Table) score(e *endpoint, r *Request) time.Duration {
+// score appends the estimate for e and returns it.
+func (t *Table) score(e *endpoint, r *Request) Score {
 	s := Score{Endpoint: e.described.GetName(), Own: e.own, Wait: e.wait(r.Tier)}
-	s.Cost = s.Wait
-	if e.load != nil {
-		s.Cost += e.firstToken() + e.serviceTime()*time.Duration(e.busy())/100
-	}
+	s.Cost = s.Wait + e.firstTokenCost(r.Tier) + e.tooSlow(t.betweenTarget(r.Class))
 	if !e.own {
 		s.Cost += t.config.DomainCost
 	}
 	t.scores = append(t.scores, s)
-	return s.Cost
-}
-
-func (t *Table) scoreOf(e *endpoint) Score {
-	for _, s := range t.scores {
-		if s.Endpoint == e.described.GetName() {
-			return s
-		}
-	}
-	return Score{}
+	return s
 }
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -62,8 +62,8 @@
 	roundRobin bool
 	oneTier    bool // no tiers, first in first out
 	walk       bool // try other candidates after a refusal
+	rigid      bool // nothing is preempted after its first token
 	move       bool // agents may bounce a request that would start late
-	leastWait  bool // the least loaded by the router's figures
 }
 
 type tally struct {
@@ -73,18 +73,17 @@
 }
 
 type job struct {
-	class     *class
-	request   flow.Request
-	router    int
-	prefix    uint64
-	length    int
-	made      int
-	joined    bool
-	first     time.Time
-	tried     []string
-	at        int
-	hops      int
-	preempted int
+	class   *class
+	request flow.Request
+	router  int
+	prefix  uint64
+	length  int
+	made    int
+	joined  bool
+	started time.Time
+	first   time.Time
+	tried   []string
+	at      int
 }
 
 type engineModel struct {
@@ -134,6 +133,7 @@
 	arrivals   int
 	violations []string
 	// onActions sees the actions of an engine's queue, for properties.
+	onEnd     func(j *job)
 	onActions func(e *engineModel, actions []flow.Action)
 }
 
@@ -187,6 +187,9 @@
 func (w *world) digest() {
 	state := ticket.NewState()
 	state.EndpointGroups["g"] = ticket.EndpointGroup{Name: "g", Workspaces: []string{"*"}, Models: []string{"m"}}
+	for _, c := range w.scenario.classes {
+		state.Classes[c.name] = ticket.Class{Name: c.name, BetweenTokensTarget: ticket.Duration(c.between)}
+	}
 	var list []*pb.Endpoint
 	for i, e := range w.engines {
 		list = append(list, &pb.Endpoint{
@@ -229,7 +232,7 @@
 		j := &job{class: c, length: min(length, 4000), router: r.IntN(w.scenario.routers), prefix: prefix, request: flow.Request{
 			ID: fmt.Sprintf("%s-%d", c.name, n), Tier: c.tier, Class: c.name, Workspace: workspace, Share: 1,
 			Arrived: arrived, StartBy: arrived.Add(c.patience), Deadline: arrived.Add(c.deadline), Bytes: 1000,
-			Preemptible: true, PreemptibleAfterToken: true, FirstTokenTarget: c.first, BetweenTokensTarget: c.between,
+			Preemptible: true, PreemptibleAfterToken: !w.policy.rigid, FirstTokenTarget: c.first, BetweenTokensTarget: c.between,
 		}}
 		if w.policy.oneTier {
 			j.request.Tier = 1
@@ -283,9 +286,8 @@
 			w.failed(e, j)
 			return
 		}
-		w.dispatched++
 		j.at = i
-		j.request.MayMove = w.policy.move && len(j.tried) < 2
+		j.request.MayMove = w.policy.move && len(j.tried) == 0
 		w.act(e, e.queue.Arrive(w.now, j.request))
 	})
 }
@@ -328,8 +330,10 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case flow.Start:
+			w.dispatched++
 			j := w.jobs[a.ID]
 			w.tallies[j.class.name].starts = append(w.tallies[j.class.name].starts, w.now.Sub(modelEpoch))
+			j.started = w.now
 			e.joining = append(e.joining, j)
 			w.tick(e)
 		case flow.Preempt:
@@ -374,6 +378,9 @@
 		return
 	}
 	t.finished++
+	if w.onEnd != nil {
+		w.onEnd(j)
+	}
 	ttft := j.first.Sub(j.request.Arrived)
 	t.ttft = append(t.ttft, ttft)
 	between := time.Duration(0)
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -14,6 +14,7 @@
 
 var comparePolicies = flag.Bool("policies", false, "print the comparison of policies in the model")
 
+var onlyPolicy = flag.String("only", "", "part of the name of the policies to print")
 var onlyScenario = flag.String("scenario", "", "part of the name of the scenarios to print")
 
 // mix is the classes of the rally desk; the rates are for twelve engines.
@@ -64,7 +65,7 @@
 }
 
 func full() policy {
-	return policy{name: "full", walk: true, flow: flow.Config{Slots: 32, Adaptive: true},
+	return policy{name: "full", walk: true, move: true, flow: flow.Config{Slots: 32, Adaptive: true},
 		routing: routing.Config{}}
 }
 
@@ -78,14 +79,18 @@
 	}
 	return []policy{
 		baseline(), full(),
-		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
+		with("rigid", func(p *policy) { p.rigid = true }),
+		with("headroom-100", func(p *policy) { p.flow.HeadroomPercent = 100 }),
 		with("no-headroom", func(p *policy) { p.flow.HeadroomPercent = -1 }),
-		with("headroom-50", func(p *policy) { p.flow.HeadroomPercent = 50 }),
+		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
 		with("fixed-16", func(p *policy) { p.flow = flow.Config{Slots: 16} }),
 		with("fixed-32", func(p *policy) { p.flow = flow.Config{Slots: 32} }),
-		with("fixed-48", func(p *policy) { p.flow = flow.Config{Slots: 48} }),
-		with("move", func(p *policy) { p.move = true }),
-		with("no-affinity", func(p *policy) { p.routing.MaxPrefixes = -1 }),
+		with("no-move", func(p *policy) { p.move = false }),
+		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
+		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
+		with("least-cost", func(p *policy) { p.routing.Choices = 1000 }),
+		with("spill-20", func(p *policy) { p.routing.SpillCost = 20 * time.Millisecond }),
+		with("spill-200", func(p *policy) { p.routing.SpillCost = 200 * time.Millisecond }),
 	}
 }
 
@@ -123,6 +128,9 @@
 			continue
 		}
 		for _, p := range policies() {
+			if !strings.Contains(p.name, *onlyPolicy) {
+				continue
+			}
 			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, 1).run().summary())
 		}
 	}
