--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,106 @@
+package state_test
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/internal/state"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
+// TestReplicasAgree applies random commands to two replicas, restores one of
+// them from its snapshot now and then, and checks that results and states agree.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := state.New(state.Options{}), state.New(state.Options{})
+		for index := uint64(1); index <= 60; index++ {
+			command, err := proto.Marshal(draw(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(first.Apply(index, command)) != string(second.Apply(index, command)) {
+				t.Fatal("the results differ")
+			}
+			one, errOne := first.Snapshot()
+			two, errTwo := second.Snapshot()
+			if errOne != nil || errTwo != nil || string(one) != string(two) {
+				t.Fatal("the states differ")
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				second = state.New(state.Options{})
+				if err := second.Restore(one); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+// TestUnreadable checks that commands and snapshots that can't be read change nothing.
+func TestUnreadable(t *testing.T) {
+	m := state.New(state.Options{})
+	before, _ := m.Snapshot()
+	if result := m.Apply(1, []byte("\xff\xff")); result != nil {
+		t.Errorf("result %q", result)
+	}
+	if m.Restore([]byte("\xff\xff")) == nil {
+		t.Error("an unreadable snapshot was taken")
+	}
+	if after, _ := m.Snapshot(); string(after) != string(before) {
+		t.Error("the state changed")
+	}
+}
+
+func draw(t *rapid.T) *pb.Command {
+	c := &pb.Command{
+		NowUnixMs: int64(rapid.IntRange(0, 5000).Draw(t, "now")),
+		Term:      uint64(rapid.IntRange(1, 3).Draw(t, "term")),
+	}
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	number := uint64(rapid.IntRange(1, 20).Draw(t, "number"))
+	switch rapid.IntRange(0, 6).Draw(t, "command") {
+	case 0:
+		encoded, _ := ticket.Encode(&ticket.Ticket{Number: number, Author: "t", Summary: "s",
+			Limits: []ticket.Limit{{Name: name, RequestsPerSecond: int(number % 7)}}})
+		c.Command = &pb.Command_Submit{Submit: &pb.SubmitCommand{Ticket: encoded}}
+	case 1:
+		c.Command = &pb.Command_Join{Join: &pb.JoinCommand{Endpoint: &pb.Endpoint{Name: name},
+			Nonce: fmt.Sprint(number % 3), MaxEndpoints: 2}}
+	case 2:
+		c.Command = &pb.Command_Leave{Leave: &pb.LeaveCommand{Incarnations: []*pb.Incarnation{{Name: name, Incarnation: number}}}}
+	case 3:
+		c.Command = &pb.Command_Update{Update: &pb.UpdateCommand{Updates: []*pb.EndpointUpdate{
+			{Name: name, Incarnation: number, Models: []string{"m"}}}}}
+	case 4:
+		c.Command = &pb.Command_Want{Want: &pb.WantCommand{Name: name, Wanted: pb.EndpointState_ENDPOINT_STATE_DRAINING}}
+	case 5:
+		c.Command = &pb.Command_Order{Order: &pb.OrderCommand{Name: name, Incarnation: number,
+			Orders: []*pb.Order{{Kind: pb.OrderKind_ORDER_KIND_LOAD, Model: "m"}}}}
+	default:
+		c.Command = &pb.Command_Ledger{Ledger: drawLedger(t, name, fmt.Sprint(number%4))}
+	}
+	return c
+}
+
+func drawLedger(t *rapid.T, key, request string) *pb.LedgerCommand {
+	digest := sha256.Sum256([]byte("body"))
+	attempt := uint32(rapid.IntRange(0, 2).Draw(t, "attempt"))
+	return &pb.LedgerCommand{
+		Bounds: &pb.LedgerBounds{RetentionMs: 1000, MaxEntries: 2, MaxBytes: 1 << 20, MaxAnswerBytes: 4},
+		Operations: []*pb.LedgerOperation{
+			{Operation: &pb.LedgerOperation_Claim{Claim: &pb.ClaimRequest{Workspace: "w", Key: key,
+				BodyDigest: digest[:], RequestId: request, AfterAttempt: attempt}}},
+			{Operation: &pb.LedgerOperation_Settle{Settle: &pb.SettleRequest{Workspace: "w", Key: key, RequestId: request,
+				Attempt: attempt, Execution: pb.Execution(rapid.IntRange(1, 3).Draw(t, "execution"))}}},
+			{Operation: &pb.LedgerOperation_Lookup{Lookup: &pb.LookupRequest{Workspace: "w", Key: key}}},
+		},
+	}
+}
