Prove the whole system with an ordinary client, stops and malformed callers

Cause: the path was proved part by part; a caller sees the whole of it. Change: specs over the embedded system: openai-go streamed, buffered, refused and cancelled; a router's stop under a running stream; endpoints drained under load; slow and malformed heads. A choice now says how many more endpoints the request could go to: agents were told "no other candidate" whenever the own failure domain had a single endpoint. Conclusion: planned stops cut off nothing in these cases; no malformed head reached an engine.

--- /dev/null
+++ b/internal/daemon/system_test.go
@@ -0,0 +1,240 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
+	"github.com/trefoilkeel/trefoilkeel/internal/standin"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+const riderKey = "demo-riders-key"
+
+// system is an embedded system with the rally's first ticket in force.
+type system struct {
+	*daemon.Embedded
+	standins *daemon.StandinServers
+}
+
+func newSystem(ctx context.Context, routers int) *system {
+	standins, endpoints, err := daemon.StartStandins()
+	Expect(err).NotTo(HaveOccurred())
+	e, err := daemon.StartEmbedded(daemon.EmbeddedOptions{Endpoints: endpoints, Routers: routers, Logger: slog.New(slog.DiscardHandler)})
+	Expect(err).NotTo(HaveOccurred())
+	s := &system{Embedded: e, standins: standins}
+	Expect(s.WaitReady(ctx, s.submit(ctx))).To(Succeed())
+	return s
+}
+
+// submit sends the first ticket and returns its revision.
+func (s *system) submit(ctx context.Context) uint64 {
+	text, err := os.ReadFile("../../examples/rally/ticket-001.toml")
+	Expect(err).NotTo(HaveOccurred())
+	t, err := ticket.DecodeTOML(text)
+	Expect(err).NotTo(HaveOccurred())
+	encoded, err := ticket.Encode(t)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := s.admin().SubmitTicket(ctx, connect.NewRequest(&trefoilkeelv1.SubmitTicketRequest{Ticket: encoded}))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Msg.GetVerdict()).To(Equal(trefoilkeelv1.Verdict_VERDICT_ACCEPTED), response.Msg.String())
+	return response.Msg.GetRevision()
+}
+
+func (s *system) admin() trefoilkeelv1connect.AdminServiceClient {
+	return trefoilkeelv1connect.NewAdminServiceClient(rpc.Client(nil), s.Control.ControlURL())
+}
+
+func (s *system) stop() {
+	Expect(s.Stop(context.Background())).To(Succeed())
+	s.standins.Stop()
+}
+
+func (s *system) client() openai.Client {
+	return openai.NewClient(option.WithBaseURL(s.Routers[0].RouterURL()+"/v1"), option.WithAPIKey(riderKey), option.WithMaxRetries(0))
+}
+
+// question is what the client library sends.
+func question(tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     "rally-text",
+		MaxTokens: openai.Int(tokens),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("which stage is closed?")},
+	}
+}
+
+var questionPrompt = standin.ChatPrompt([]standin.Message{{Role: "user", Content: "which stage is closed?"}})
+
+var _ = Describe("a whole system", func() {
+	It("serves an ordinary OpenAI client with only its base URL and key changed", func(ctx SpecContext) {
+		s := newSystem(ctx, 1)
+		defer s.stop()
+		client := s.client()
+
+		whole, err := client.Chat.Completions.New(ctx, question(12))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(standin.Verify(questionPrompt, whole.Choices[0].Message.Content, 12)).To(Succeed())
+
+		stream := client.Chat.Completions.NewStreaming(ctx, question(12))
+		gathered := openai.ChatCompletionAccumulator{}
+		for stream.Next() {
+			Expect(gathered.AddChunk(stream.Current())).To(BeTrue())
+		}
+		Expect(stream.Err()).NotTo(HaveOccurred())
+		Expect(standin.Verify(questionPrompt, gathered.Choices[0].Message.Content, 12)).To(Succeed())
+
+		unknown := question(1)
+		unknown.Model = "other"
+		_, err = client.Chat.Completions.New(ctx, unknown)
+		var refused *openai.Error
+		Expect(err).To(BeAssignableToTypeOf(refused))
+		Expect(err.(*openai.Error).Type).To(Equal("unknown_model"))
+
+		models, err := client.Models.List(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(models.Data).To(HaveLen(1))
+	}, NodeTimeout(time.Minute))
+
+	It("cancels at the engine what an OpenAI client cancels", func(ctx SpecContext) {
+		s := newSystem(ctx, 1)
+		defer s.stop()
+		client := s.client()
+		streamCtx, cancel := context.WithCancel(ctx)
+		stream := client.Chat.Completions.NewStreaming(streamCtx, question(4000))
+		Expect(stream.Next()).To(BeTrue())
+		cancel()
+		Eventually(func() standin.Outcome {
+			for _, e := range s.standins.Engines {
+				for _, a := range e.Records().Arrivals {
+					return a.Outcome
+				}
+			}
+			return standin.OutcomeRunning
+		}, "20s").Should(Equal(standin.OutcomeCancelled))
+	}, NodeTimeout(time.Minute))
+
+	It("ends every answer in flight whole when a router stops, and takes no new work", func(ctx SpecContext) {
+		s := newSystem(ctx, 1)
+		defer s.stop()
+		client := s.client()
+		stream := client.Chat.Completions.NewStreaming(ctx, question(40))
+		Expect(stream.Next()).To(BeTrue())
+		gathered := openai.ChatCompletionAccumulator{}
+		gathered.AddChunk(stream.Current())
+		router := s.Routers[0]
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.StopMember(router) }()
+		Eventually(func() error {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(router.RouterURL(), "http://"))
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err
+		}, "10s").Should(HaveOccurred())
+		for stream.Next() {
+			gathered.AddChunk(stream.Current())
+		}
+		Expect(stream.Err()).NotTo(HaveOccurred())
+		Expect(standin.Verify(questionPrompt, gathered.Choices[0].Message.Content, 40)).To(Succeed())
+		Eventually(stopped, "20s").Should(Receive(BeNil()))
+	}, NodeTimeout(time.Minute))
+
+	It("drains endpoints one after the other without cutting off an answer", func(ctx SpecContext) {
+		s := newSystem(ctx, 1)
+		defer s.stop()
+		client := s.client()
+		running, stopLoad := context.WithCancel(ctx)
+		var group sync.WaitGroup
+		for range 6 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				for running.Err() == nil {
+					answer, err := client.Chat.Completions.New(ctx, question(12))
+					Expect(err).NotTo(HaveOccurred())
+					Expect(standin.Verify(questionPrompt, answer.Choices[0].Message.Content, 12)).To(Succeed())
+				}
+			})
+		}
+		for _, name := range []string{"rally-text-1", "rally-text-2"} {
+			before := len(s.standins.Engines[name].Records().Arrivals)
+			Expect(s.StopMember(s.Agents[name])).To(Succeed())
+			after := len(s.standins.Engines[name].Records().Arrivals)
+			Expect(after).To(BeNumerically(">=", before))
+			Consistently(func() int { return len(s.standins.Engines[name].Records().Arrivals) }, "300ms").Should(Equal(after))
+		}
+		stopLoad()
+		group.Wait()
+	}, NodeTimeout(time.Minute))
+
+	It("closes the connection of a caller that sends its head too slowly", func(ctx SpecContext) {
+		s := newSystem(ctx, 1)
+		defer s.stop()
+		conn, err := net.Dial("tcp", strings.TrimPrefix(s.Routers[0].RouterURL(), "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthoriz"))
+		Expect(err).NotTo(HaveOccurred())
+		head, err := io.ReadAll(conn) // ends only when the router closes it
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(head)).NotTo(ContainSubstring("200 OK"))
+		for _, e := range s.standins.Engines {
+			Expect(e.Records().Arrivals).To(BeEmpty())
+		}
+	}, NodeTimeout(time.Minute))
+
+	DescribeTable("refuses a malformed head", func(ctx SpecContext, head string) {
+		s := newSystem(ctx, 1)
+		defer s.stop()
+		conn, err := net.Dial("tcp", strings.TrimPrefix(s.Routers[0].RouterURL(), "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		head = strings.ReplaceAll(head, "KEY", riderKey)
+		_, err = conn.Write([]byte(head))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		answer, _ := io.ReadAll(conn)
+		Expect(bytes.HasPrefix(answer, []byte("HTTP/1.1 4"))).To(BeTrue(), string(answer))
+		for _, e := range s.standins.Engines {
+			Expect(e.Records().Arrivals).To(BeEmpty())
+		}
+	},
+		Entry("two lengths", NodeTimeout(time.Minute), "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}x"),
+		Entry("a blank before the colon", NodeTimeout(time.Minute), "POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"),
+		Entry("no host", NodeTimeout(time.Minute), "POST /v1/completions HTTP/1.1\r\n\r\n"),
+		Entry("a head over the bound", NodeTimeout(time.Minute), "POST /v1/completions HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("y", 80<<10)+"\r\n\r\n"),
+		Entry("a body that ends early", NodeTimeout(time.Minute), "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer KEY\r\nContent-Length: 90\r\n\r\n{\"model\":"),
+	)
+
+	It("says ready only with a configuration, and not while it stops", func(ctx SpecContext) {
+		standins, endpoints, err := daemon.StartStandins()
+		Expect(err).NotTo(HaveOccurred())
+		defer standins.Stop()
+		e, err := daemon.StartEmbedded(daemon.EmbeddedOptions{Endpoints: endpoints, Logger: slog.New(slog.DiscardHandler)})
+		Expect(err).NotTo(HaveOccurred())
+		s := &system{Embedded: e, standins: standins}
+		defer func() { Expect(s.Stop(ctx)).To(Succeed()) }()
+		Expect(s.Routers[0].Ready()).To(BeFalse())
+		response, err := http.Post(s.Routers[0].RouterURL()+"/v1/completions", "application/json", strings.NewReader("{}"))
+		Expect(err).NotTo(HaveOccurred())
+		_ = response.Body.Close()
+		Expect(response.StatusCode).To(BeElementOf(http.StatusServiceUnavailable, http.StatusUnauthorized))
+		Expect(s.WaitReady(ctx, s.submit(ctx))).To(Succeed())
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -70,7 +70,7 @@
 	p.table.Started(now, decision.Endpoint.GetName(), r.Tier)
 	picked := choice{endpoint: decision.Endpoint, reason: decision.Reason}
 	picked.candidates = append(picked.candidates, decision.Candidates...)
-	picked.mayMove = len(decision.Candidates) > 1
+	picked.mayMove = decision.Untried > 0
 	return picked, nil
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -31,7 +31,8 @@
 	if e.ejected {
 		e.probing = true
 	}
-	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason}, nil
+	untried := max(len(t.fit)-1, 0)
+	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason, Untried: untried}, nil
 }
 
 // filter fills t.fit and counts what was left out.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -47,6 +47,8 @@
 	Endpoint   *pb.Endpoint
 	Candidates []Score
 	Reason     string
+	// Untried is how many more endpoints the request could go to.
+	Untried int
 }
 
 // The reasons of a Decision.
