--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -53,7 +53,7 @@
 	endpoint   *trefoilkeelv1.Endpoint
 	reason     string
 	candidates []routing.Score
-	mayMove    bool // another candidate is untried
+	mayMove    bool // the agent may refuse it at once as busy
 }
 
 // choose returns an endpoint for the request and counts the attempt as
@@ -70,7 +70,7 @@
 	p.table.Started(now, decision.Endpoint.GetName(), r.Tier)
 	picked := choice{endpoint: decision.Endpoint, reason: decision.Reason}
 	picked.candidates = append(picked.candidates, decision.Candidates...)
-	picked.mayMove = decision.Untried > 0
+	picked.mayMove = decision.MayMove
 	return picked, nil
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -47,8 +47,9 @@
 	Endpoint   *pb.Endpoint
 	Candidates []Score
 	Reason     string
-	// Untried is how many more endpoints the request could go to.
-	Untried int
+	// MayMove is true for a first attempt with other candidates, see
+	// flow.Request.
+	MayMove bool
 }
 
 // The reasons of a Decision.
