--- a/internal/control/suite_test.go
+++ b/internal/control/suite_test.go
@@ -151,3 +151,7 @@
 	return trefoilkeelv1connect.NewAdminServiceClient(client, h.url).Drain(
 		context.Background(), connect.NewRequest(&pb.DrainRequest{Endpoint: name}))
 }
+
+func trefoilkeelDirectory(url string) trefoilkeelv1connect.DirectoryServiceClient {
+	return trefoilkeelv1connect.NewDirectoryServiceClient(client, url)
+}
