--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -81,7 +81,6 @@
 	server  *control.Server
 	log     replica.Log
 	url     string
-	index   int
 }
 
 func newRig(b *testing.B, s control.Settings) *rig {
