Prove order, walk and budget over several queues; feed starving classes

Cause: nothing tested that a shed reaches a caller only after the walk, and in a burst of the top class beyond capacity no question finished within a whole patience of 15 s; a request given back as busy could end at its caller when the other endpoint had crashed. Change: rapid properties over queues, tables and crashes in virtual time; a class without a start for half of its patience gets one start, at most one in twenty, that is not preempted; busy endpoints are chosen again when nothing else is left; benchmarks.

--- a/internal/flow/aged.go
+++ b/internal/flow/aged.go
@@ -5,16 +5,16 @@
 // agedPart of the patience is what a request waits before it counts as aged.
 const agedPart = 2
 
-// lastChanceIn bounds last chances to one start in so many.
-const lastChanceIn = 20
+// starvingIn bounds the starts of starving classes to one in so many.
+const starvingIn = 20
 
 // aged returns a request that starts out of the tier order; nil for none.
 // It changes who starts next, never who is shed or preempted. At most one
 // start in AgedOneIn goes to a request of a lower tier that has waited half
 // of its patience, and only if every waiting request of a higher tier is
-// still expected to start within its own. At most one start in lastChanceIn
-// goes, without that condition, to a request whose class has not had a single
-// start for a whole patience and that would be refused next.
+// still expected to start within its own. At most one start in starvingIn
+// goes, without that condition, to such a request of a class that has had no
+// start here for half of its patience; that request is not preempted.
 func (q *Queue) aged(now time.Time) *item {
 	if q.config.AgedOneIn < 0 || q.sinceAged+1 < q.config.AgedOneIn {
 		return nil
@@ -25,10 +25,14 @@
 		if it == nil || q.hopeless(now, it) {
 			continue
 		}
-		if q.lastChance(now, it) {
+		if !waitedLong(now, it) {
+			continue
+		}
+		if q.starving(now, it) {
+			it.shielded = true
 			return it
 		}
-		if tier > top && waitedLong(now, it) && q.higherCanWait(now, tier) {
+		if tier > top && q.higherCanWait(now, tier) {
 			return it
 		}
 	}
@@ -66,10 +70,11 @@
 	return true
 }
 
-// lastChance says that the class of a request has starved for its patience.
-func (q *Queue) lastChance(now time.Time, it *item) bool {
-	if q.sinceAged+1 < lastChanceIn || now.Add(2*q.startInterval()).Before(it.StartBy) {
+// starving says that the class of a request has had no start for half of its
+// patience, and that the share of such classes allows one.
+func (q *Queue) starving(now time.Time, it *item) bool {
+	if q.sinceAged+1 < starvingIn {
 		return false
 	}
-	return now.Sub(q.class(it.Class).lastStart) >= it.StartBy.Sub(it.Arrived)
+	return now.Sub(q.class(it.Class).lastStart) >= it.StartBy.Sub(it.Arrived)/agedPart
 }
--- /dev/null
+++ b/internal/flow/bench_test.go
@@ -0,0 +1,91 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// filled returns a full endpoint with n requests waiting, over fifty
+// workspaces and six tiers.
+func filled(n int) (*Queue, time.Time) {
+	q := New(Config{Slots: 32, MaxWaiting: n})
+	for i := range n + 32 {
+		r := ask(fmt.Sprint("r", i), 1+i%6, fmt.Sprint("w", i%50), time.Duration(i)*time.Microsecond)
+		r.StartBy = r.StartBy.Add(time.Hour)
+		r.Deadline = r.Deadline.Add(time.Hour)
+		q.Arrive(r.Arrived, r)
+	}
+	return q, epoch.Add(time.Second)
+}
+
+var benchSizes = []int{100, 10_000}
+
+// BenchmarkFinishAndArrive ends one request, starts the next and takes one in.
+func BenchmarkFinishAndArrive(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q, now := filled(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				for id, it := range q.running {
+					q.Finish(now, id, Whole)
+					r := it.Request
+					r.Tier = it.Tier
+					q.Arrive(now, r)
+					break
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkShed takes one in at the bound, so that one is shed.
+func BenchmarkShed(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q, now := filled(n)
+			ids := make([]string, 4096)
+			for i := range ids {
+				ids[i] = fmt.Sprint("s", i)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				r := ask(ids[i%len(ids)], 6, "w1", time.Hour)
+				q.Arrive(now, r)
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkToken(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q, now := filled(n)
+			for id := range q.running {
+				q.FirstToken(now, id)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				for id := range q.running {
+					q.Token(now, id, 1)
+					break
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkLoad(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q, now := filled(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Load(now)
+			}
+		})
+	}
+}
--- a/internal/flow/heap.go
+++ b/internal/flow/heap.go
@@ -17,6 +17,7 @@
 	index       [heapCount]int   // -1: not in that heap
 	late        bool
 	ran         bool
+	shielded    bool // started for a starving class
 	preemptions int
 	startedAt   time.Time
 	tokenAt     time.Time // of the last token, zero before the first
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -78,6 +78,6 @@
 
 // mayPreempt says that a running request can still be stopped and wait again.
 func (q *Queue) mayPreempt(now time.Time, it *item) bool {
-	return it.Preemptible && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
+	return it.Preemptible && !it.shielded && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
 		it.preemptions < q.config.MaxPreemptions && it.StartBy.After(now)
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -9,8 +9,11 @@
 func (t *Table) Choose(now time.Time, r Request, rand Rand) (Decision, error) {
 	missing := t.filter(now, &r)
 	t.scores = t.scores[:0]
+	if len(t.fit) == 0 && len(r.Busy) > 0 {
+		return t.backToBusy(now, r, rand)
+	}
 	if len(t.fit) == 0 {
-		return t.lastResort(now, &r, missing)
+		return t.lastResort(&r, missing)
 	}
 	own := t.partition()
 	best, score := t.bestOf(t.fit[:own], &r, rand)
@@ -27,11 +30,22 @@
 	return t.decide(&r, best, reason)
 }
 
+// backToBusy chooses among the endpoints that gave the request back.
+func (t *Table) backToBusy(now time.Time, r Request, rand Rand) (Decision, error) {
+	r.Busy = nil
+	d, err := t.Choose(now, r, rand)
+	d.MayMove = false
+	if err == nil && d.Reason != ReasonEjected {
+		d.Reason = ReasonBusy
+	}
+	return d, err
+}
+
 func (t *Table) decide(r *Request, e *endpoint, reason string) (Decision, error) {
 	if e.ejected {
 		e.probing = true
 	}
-	mayMove := len(r.Tried) == 0 && len(t.fit) > 1
+	mayMove := len(r.Tried) == 0 && len(r.Busy) == 0 && len(t.fit) > 1
 	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason, MayMove: mayMove}, nil
 }
 
@@ -50,6 +64,7 @@
 				missing.Leaving++
 			case len(r.Tried) > 0 && slices.Contains(r.Tried, e.described.GetName()):
 				missing.Tried++
+			case len(r.Busy) > 0 && slices.Contains(r.Busy, e.described.GetName()):
 			case r.LowerTierOnly && !e.lowerTier(r.Tier):
 				missing.Unfit++
 			case e.ejected && (e.probing || e.ejectedUntil.After(now)):
@@ -63,7 +78,7 @@
 
 // lastResort picks an ejected endpoint where nothing else is left: the one
 // whose ejection ends first.
-func (t *Table) lastResort(now time.Time, r *Request, missing NoEndpointError) (Decision, error) {
+func (t *Table) lastResort(r *Request, missing NoEndpointError) (Decision, error) {
 	var best *endpoint
 	for _, p := range t.pools[target{kind: r.Kind, name: r.Target}] {
 		if !p.group.admits(r.Workspace) {
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -69,21 +69,24 @@
 type tally struct {
 	offered, attained, finished, refused, late, slow int
 	ttft                                             []time.Duration
-	starts                                           []time.Duration
+	ends                                             []time.Duration // since the start of the run
 }
 
 type job struct {
-	class   *class
-	request flow.Request
-	router  int
-	prefix  uint64
-	length  int
-	made    int
-	joined  bool
-	started time.Time
-	first   time.Time
-	tried   []string
-	at      int
+	class       *class
+	request     flow.Request
+	router      int
+	prefix      uint64
+	length      int
+	made        int
+	joined      bool
+	everStarted bool
+	first       time.Time
+	tried       []string
+	refused     flow.Reason
+	busy        []string
+	mayMove     bool
+	at          int
 }
 
 type engineModel struct {
@@ -130,10 +133,11 @@
 	tokens     int
 	wasted     int
 	dispatched int
+	preempted  int
 	arrivals   int
 	violations []string
 	// onActions sees the actions of an engine's queue, for properties.
-	onEnd     func(j *job)
+	onRefused func(j *job, reason flow.Reason)
 	onActions func(e *engineModel, actions []flow.Action)
 }
 
@@ -259,16 +263,17 @@
 	}
 	r := routing.Request{
 		Workspace: j.request.Workspace, Target: "m", Kind: pb.EndpointKind_ENDPOINT_KIND_ENGINE,
-		Class: j.class.name, Tier: j.request.Tier, Tried: j.tried,
+		Class: j.class.name, Tier: j.request.Tier, Tried: j.tried, Busy: j.busy,
 	}
 	if j.prefix > 0 {
 		r.Prefix = []uint64{j.prefix, j.prefix << 8, j.prefix << 16, j.prefix << 24}
 	}
 	d, err := t.Choose(w.now, r, w.rand)
 	if err != nil {
-		w.end(j, false)
+		w.tell(j, j.refused)
 		return
 	}
+	j.mayMove = d.MayMove
 	w.dispatch(j, w.index(d.Endpoint.GetName()))
 }
 
@@ -287,7 +292,7 @@
 			return
 		}
 		j.at = i
-		j.request.MayMove = w.policy.move && len(j.tried) == 0
+		j.request.MayMove = w.policy.move && j.mayMove
 		w.act(e, e.queue.Arrive(w.now, j.request))
 	})
 }
@@ -332,11 +337,11 @@
 		case flow.Start:
 			w.dispatched++
 			j := w.jobs[a.ID]
-			w.tallies[j.class.name].starts = append(w.tallies[j.class.name].starts, w.now.Sub(modelEpoch))
-			j.started = w.now
+			j.everStarted = true
 			e.joining = append(e.joining, j)
 			w.tick(e)
 		case flow.Preempt:
+			w.preempted++
 			j := w.jobs[a.ID]
 			drop := func(other *job) bool { return other == j }
 			e.running = slices.DeleteFunc(e.running, drop)
@@ -363,13 +368,28 @@
 	t.Finished(w.now, e.name, j.request.Tier, routing.Refused)
 	t.Observe(w.now, e.name, 1, e.queue.Load(w.now))
 	if w.policy.walk && (r.Reason == flow.Overloaded || r.Reason == flow.Busy) && !r.Ran {
-		j.tried = append(j.tried, e.name)
+		if r.Reason == flow.Busy {
+			j.busy = append(j.busy, e.name)
+		} else {
+			j.tried = append(j.tried, e.name)
+		}
+		j.refused, j.at = r.Reason, -1
 		w.in(hop, func() { w.route(j) })
 		return
 	}
+	w.tell(j, r.Reason)
+}
+
+// tell passes a refusal to the caller.
+func (w *world) tell(j *job, reason flow.Reason) {
+	if w.onRefused != nil {
+		w.onRefused(j, reason)
+	}
 	w.end(j, false)
 }
 
+func (j *job) hasTried(name string) bool { return slices.Contains(j.tried, name) }
+
 func (w *world) end(j *job, whole bool) {
 	delete(w.jobs, j.request.ID)
 	t := w.tallies[j.class.name]
@@ -378,9 +398,7 @@
 		return
 	}
 	t.finished++
-	if w.onEnd != nil {
-		w.onEnd(j)
-	}
+	t.ends = append(t.ends, w.now.Sub(modelEpoch))
 	ttft := j.first.Sub(j.request.Arrived)
 	t.ttft = append(t.ttft, ttft)
 	between := time.Duration(0)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -23,6 +23,9 @@
 	Prefix    []uint64 // hashes of the prompt's leading blocks, each over all before it
 	Bytes     int
 	Tried     []string // endpoints that refused or failed this request
+	// Busy are endpoints that gave this request back as busy. They are chosen
+	// again once nothing else is left, so that busy never reaches a caller.
+	Busy []string
 	// LowerTierOnly keeps to endpoints where a lower tier waits or runs.
 	LowerTierOnly bool
 }
@@ -54,13 +57,12 @@
 
 // The reasons of a Decision.
 const (
-	ReasonOnly      = "only"       // one candidate was left
-	ReasonBetter    = "better"     // the best of a few random ones
-	ReasonAffinity  = "affinity"   // it holds the prompt's prefix
-	ReasonSpill     = "spill"      // the own failure domain would be later
-	ReasonLowerTier = "lower-tier" // it can displace a lower tier
-	ReasonProbe     = "probe"      // ejected, and due for a trial
-	ReasonEjected   = "ejected"    // every candidate is ejected
+	ReasonOnly     = "only"     // one candidate was left
+	ReasonBetter   = "better"   // the best of a few random ones
+	ReasonAffinity = "affinity" // it holds the prompt's prefix
+	ReasonSpill    = "spill"    // the own failure domain would be later
+	ReasonBusy     = "busy"     // back to the one that gave it back
+	ReasonEjected  = "ejected"  // every candidate is ejected
 )
 
 // NoEndpointError says why no endpoint is left.
