Keep the oldest arrival of a tier in a heap

Cause: Load looked through every waiting request for the oldest: 193 us at 10,000 waiting, and it runs for each answer. Change: one more heap per tier, by arrival. Before and after: Load at 10,000 waiting 192,851 ns to 1,762 ns, at 100 3,739 ns to 1,632 ns; finish and arrive at 10,000 3,933 ns to 2,613 ns, within the noise of a shared machine.

--- a/internal/flow/heap.go
+++ b/internal/flow/heap.go
@@ -4,9 +4,10 @@
 
 // The heaps that a waiting request is in; the index of each is kept in it.
 const (
-	byOrder  = iota // inside its workspace
-	byExpiry        // StartBy, inside its tier
-	byTarget        // when it stops being on time, inside its tier
+	byOrder   = iota // inside its workspace
+	byExpiry         // StartBy, inside its tier
+	byTarget         // when it stops being on time, inside its tier
+	byArrival        // inside its tier
 	heapCount
 )
 
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -9,6 +9,7 @@
 type tier struct {
 	onTime, late *fair
 	expiry       heap
+	arrival      heap
 	target       heap // of the requests on time that have a target
 	running      int
 	peak         peak
@@ -17,7 +18,7 @@
 func newTier() *tier {
 	return &tier{
 		onTime: newFair(), late: newFair(),
-		expiry: heap{kind: byExpiry}, target: heap{kind: byTarget},
+		expiry: heap{kind: byExpiry}, arrival: heap{kind: byArrival}, target: heap{kind: byTarget},
 	}
 }
 
@@ -31,6 +32,8 @@
 	}
 	it.key[byExpiry] = it.StartBy.UnixNano()
 	t.expiry.push(it)
+	it.key[byArrival] = it.Arrived.UnixNano()
+	t.arrival.push(it)
 	if it.FirstTokenTarget <= 0 {
 		it.late = false
 		it.key[byOrder] = it.StartBy.UnixNano()
@@ -56,6 +59,7 @@
 
 func (t *tier) remove(it *item) {
 	t.expiry.remove(it)
+	t.arrival.remove(it)
 	t.target.remove(it)
 	if it.late {
 		t.late.remove(it)
@@ -94,6 +98,7 @@
 		return nil
 	}
 	t.expiry.remove(it)
+	t.arrival.remove(it)
 	t.target.remove(it)
 	return it
 }
@@ -108,11 +113,9 @@
 
 // oldest returns the earliest arrival among the waiting requests.
 func (t *tier) oldest() (time.Time, bool) {
-	var first time.Time
-	for _, it := range t.expiry.items {
-		if first.IsZero() || it.Arrived.Before(first) {
-			first = it.Arrived
-		}
+	it := t.arrival.head()
+	if it == nil {
+		return time.Time{}, false
 	}
-	return first, !first.IsZero()
+	return it.Arrived, true
 }
