Report how late the machine woke the driver during a run

Cause: misses of all classes at once in one second of a run look like a stall of the machine and not like a decision of the system. Change: a probe that sleeps 5 ms at a time, its lateness in the report. Conclusion: a run with a large lag is to be repeated.

--- a/internal/experiment/count.go
+++ b/internal/experiment/count.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
 )
@@ -37,6 +39,7 @@
 	Endpoints        []EndpointRecords
 	Leaves           []Leave
 	Revisions        []RevisionSample
+	Lag              *hdrhistogram.Histogram // of the machine's timers, in microseconds; may be nil
 }
 
 // Violations counts what must never happen.
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	histogramMax     = int64(10 * time.Minute / time.Microsecond)
-	histogramDigits  = 3
-	microsPerMilli   = 1000.0
-	percentileMedian = 50
-	percentileHigh   = 95
+	histogramMax      = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits   = 3
+	microsPerMilli    = 1000.0
+	percentileMedian  = 50
+	percentileHigh    = 95
+	percentileExtreme = 99
 )
 
 // ClassReport is what one class got. Each caller's request counts once.
@@ -42,6 +43,10 @@
 	// EngineLoad is the requests that reached engines over those offered.
 	EngineLoad float64    `json:"engine_requests_per_offered"`
 	Violations Violations `json:"violations"`
+	// TimerLagP99 and TimerLagMax tell how late the machine woke a sleeping
+	// goroutine during the run: a busy machine, not the system.
+	TimerLagP99 float64 `json:"timer_lag_ms_p99"`
+	TimerLagMax float64 `json:"timer_lag_ms_max"`
 	// Failures counts the messages of failed calls, for the reader.
 	Failures map[string]int `json:"failures,omitempty"`
 
@@ -99,6 +104,10 @@
 	}
 	r.GoodputPerS = float64(attained) / duration.Seconds()
 	r.measureWork(o)
+	if o.Lag != nil {
+		r.TimerLagP99 = millis(o.Lag, percentileExtreme)
+		r.TimerLagMax = float64(o.Lag.Max()) / microsPerMilli
+	}
 	r.series = seriesOf(o)
 	r.missed = missedCalls(o)
 	return r
@@ -207,7 +216,8 @@
 		_, _ = fmt.Fprintf(w, "%-12s %-16s %8d %8d %8.3f %8d %6d %6d %6d %8.0fms %8.0fms %7.1fms\n", "", class,
 			c.Offered, c.Attained, c.Attainment, c.Finished, c.Shed, c.Failed, c.GaveUp, c.TTFTP50, c.TTFTP95, c.TBTP95)
 	}
-	_, _ = fmt.Fprintf(w, "%-12s goodput %.2f/s, wasted %.4f, engine requests per offered %.3f\n", "", r.GoodputPerS, r.WastedShare, r.EngineLoad)
+	_, _ = fmt.Fprintf(w, "%-12s goodput %.2f/s, wasted %.4f, engine requests per offered %.3f, timer lag p99 %.1f ms max %.0f ms\n", "",
+		r.GoodputPerS, r.WastedShare, r.EngineLoad, r.TimerLagP99, r.TimerLagMax)
 	_, _ = fmt.Fprintf(w, "%-12s violations %d: %+v\n", "", r.Violations.Total(), r.Violations)
 	for _, reason := range sortedKeys(r.Failures) {
 		_, _ = fmt.Fprintf(w, "%-12s   %5d × %s\n", "", r.Failures[reason], reason)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -10,11 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 )
 
 const (
 	progressInterval = time.Second
+	probeInterval    = 5 * time.Millisecond
 	sampleInterval   = 500 * time.Millisecond
 	closeTimeout     = 20 * time.Second
 )
@@ -133,6 +135,8 @@
 	side.Go(func() { d.timeline.run(watch, start) })
 	side.Go(func() { d.sample(watch) })
 	side.Go(func() { d.report(watch, start) })
+	lag := hdrhistogram.New(1, histogramMax, histogramDigits)
+	side.Go(func() { probe(watch, lag) })
 	d.arrive(ctx, start)
 	stop()
 	side.Wait()
@@ -140,6 +144,7 @@
 	return &Observation{
 		Started: start, Ended: time.Now(), StarvationWindow: time.Duration(d.scenario.StarvationWindow),
 		Calls: d.calls, Endpoints: d.fleet.records(), Leaves: d.timeline.noted(), Revisions: d.samples,
+		Lag: lag,
 	}
 }
 
@@ -203,6 +208,18 @@
 	}
 }
 
+// probe records how late the machine wakes a goroutine that sleeps: what the
+// figures of the run can't be more exact than.
+func probe(ctx context.Context, lag *hdrhistogram.Histogram) {
+	for {
+		due := time.Now().Add(probeInterval)
+		if !sleepUntil(ctx, due) {
+			return
+		}
+		_ = lag.RecordValue(min(time.Since(due).Microseconds(), histogramMax))
+	}
+}
+
 // report writes the progress line.
 func (d *driver) report(ctx context.Context, start time.Time) {
 	if d.progress == nil {
