--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -66,8 +66,8 @@
 		n.resetElection()
 	}
 	if n.role == Leader {
-		// A lease that was reported holds although this replica leads no more.
-		n.promiseUntil = max(n.promiseUntil, n.quorumAcked()+n.cfg.ElectionTimeout)
+		// A lease that was told holds although this replica leads no more.
+		n.promiseUntil = max(n.promiseUntil, n.leaseTold)
 	}
 	n.role, n.leader = Follower, leader
 	n.handOver, n.progress, n.votes = nil, nil, nil
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -10,7 +10,9 @@
 	deadline time.Duration
 }
 
-// leaseEnd returns until when no other leader can exist, by the own clock.
+// leaseEnd returns until when no other leader can exist, by the own clock. It
+// notes the newest answer: a membership change may bring an earlier one, but
+// the callers go by what they were told.
 func (n *Node) leaseEnd() (time.Duration, bool) {
 	if n.role != Leader || n.commit < n.termStart {
 		return 0, false
@@ -19,6 +21,7 @@
 	if n.handOver != nil {
 		end = min(end, n.handOver.leaseEnd)
 	}
+	n.leaseTold = max(n.leaseTold, end)
 	return end, n.now < end
 }
 
@@ -68,8 +71,8 @@
 	if !ok || !member.Voter || to == n.cfg.ID {
 		return &MemberError{ID: to, Reason: "is no other voter"}
 	}
-	end, _ := n.leaseEnd()
-	n.handOver = &handOver{to: to, leaseEnd: max(end, n.now), deadline: n.now + 3*n.cfg.ElectionTimeout}
+	n.leaseEnd()
+	n.handOver = &handOver{to: to, leaseEnd: max(n.leaseTold, n.now), deadline: n.now + 3*n.cfg.ElectionTimeout}
 	return nil
 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -170,8 +170,8 @@
 	n.hardDirty = true
 }
 
-// handleJoin admits a data folder as a learner, if this replica leads. A host
-// with an empty folder says so, for the sake of the founder.
+// handleJoin admits a data folder as a learner, or passes the join on to the
+// leader. A host with an empty folder says so, for the sake of the founder.
 func (n *Node) handleJoin(m Message) {
 	if n.hard.Formation == 0 {
 		if m.Formation == 0 {
@@ -179,7 +179,11 @@
 		}
 		return
 	}
-	if n.role != Leader || (m.Formation != 0 && m.Formation != n.hard.Formation) {
+	if m.Formation != 0 && m.Formation != n.hard.Formation {
+		return
+	}
+	if n.role != Leader {
+		n.passJoinOn(m)
 		return
 	}
 	members, _ := n.log.membership()
@@ -198,6 +202,16 @@
 	_, _, _ = n.proposeMembership(members.with(member))
 }
 
+// passJoinOn sends a join to the leader, which the host may not know. Echo
+// marks one that was passed on already.
+func (n *Node) passJoinOn(m Message) {
+	if n.leader == 0 || n.leader == m.From || m.Echo != 0 {
+		return
+	}
+	m.To, m.Echo = n.leader, n.cfg.Disk
+	n.send = append(n.send, m)
+}
+
 // handleJoinReply notes that another host has an empty folder, as of a
 // question of this very folder.
 func (n *Node) handleJoinReply(m Message) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -27,6 +27,7 @@
 	progress    map[uint64]*progress
 	termStart   uint64 // first entry of the leader's term
 	leaderSince time.Duration
+	leaseTold   time.Duration // newest end of the lease that a caller was told
 	heartbeatAt time.Duration
 	handOver    *handOver
 	uncommitted int // bytes
@@ -48,6 +49,7 @@
 		commit: stored.Snapshot.Index, applied: stored.Snapshot.Index,
 		emptyPeers: map[uint64]time.Duration{}}
 	n.promiseUntil = now + n.cfg.ElectionTimeout
+	n.leaseTold = never
 	n.resetElection()
 	if m, _ := n.log.membership(); m.voters() == 1 && m.isVoter(cfg.ID, cfg.Disk) {
 		n.promiseUntil, n.electionAt = now, now
