--- a/internal/journal/check.go
+++ b/internal/journal/check.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"os"
+	"runtime/debug"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -52,23 +53,51 @@
 	return nil
 }
 
+// verify reads every record of an existing file, without writing to it, and
+// returns what it holds and the bytes of its records. Pages that are not what
+// they should be fault or panic in here, where that is caught.
+func verify(path string) (stored consensus.Stored, read int64, err error) {
+	if _, err := os.Stat(path); os.IsNotExist(err) {
+		return stored, 0, nil
+	}
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: true})
+	if err != nil {
+		return stored, 0, &FileError{Path: path, Cause: err}
+	}
+	defer func() {
+		if v := recover(); v != nil {
+			err = &CorruptError{Path: path, Part: "pages", Cause: &faultError{Value: v}}
+		}
+		err = errors.CombineErrors(err, db.Close())
+	}()
+	j := &Journal{db: db, path: path}
+	stored, err = j.load()
+	return stored, j.read, err
+}
+
 // load reads and checks every record.
 func (j *Journal) load() (stored consensus.Stored, err error) {
-	err = j.db.View(func(tx *bbolt.Tx) error {
-		meta := tx.Bucket(metaBucket)
-		if stored.Hard, err = j.loadVote(meta); err != nil {
-			return err
-		}
-		if stored.Snapshot, err = j.loadSnapshot(meta); err != nil {
-			return err
-		}
-		j.read += int64(len(stored.Snapshot.Data))
-		if stored.Entries, err = j.loadEntries(tx.Bucket(logBucket)); err != nil {
-			return err
-		}
-		return j.checkTail(meta, stored)
-	})
-	return stored, j.fileError(err)
+	tx, err := j.db.Begin(false)
+	if err != nil {
+		return stored, j.fileError(err)
+	}
+	defer func() { err = errors.CombineErrors(err, tx.Rollback()) }()
+	meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
+	if meta == nil || log == nil {
+		return stored, nil // nothing was written yet
+	}
+	if stored.Hard, err = j.loadVote(meta); err != nil {
+		return stored, err
+	}
+	if stored.Snapshot, err = j.loadSnapshot(meta); err != nil {
+		return stored, err
+	}
+	j.read += int64(len(stored.Snapshot.Data))
+	if stored.Entries, err = j.loadEntries(log); err != nil {
+		return stored, j.fileError(err)
+	}
+	return stored, j.checkTail(meta, stored)
 }
 
 // loadVote reads term and vote.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,7 +9,6 @@
 	"encoding/binary"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,36 +59,26 @@
 
 // Open opens the data folder of a host, or begins an empty one, and returns
 // what it holds. Errors are *CorruptError, *IdentityError or *FileError.
-func Open(dir, cluster string, id uint64) (j *Journal, stored consensus.Stored, err error) {
+func Open(dir, cluster string, id uint64) (*Journal, consensus.Stored, error) {
 	path := filepath.Join(dir, FileName)
 	if err := prepare(dir, path); err != nil {
-		return nil, stored, err
+		return nil, consensus.Stored{}, err
 	}
-	// A file cut short by damage faults when its pages are touched.
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	var db *bbolt.DB
-	defer func() {
-		if v := recover(); v != nil {
-			j, err = nil, &CorruptError{Path: path, Part: "pages", Cause: &faultError{Value: v}}
-		}
-		if err != nil && db != nil {
-			_ = db.Close()
-		}
-	}()
-	db, err = bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true,
-		FreelistType: bbolt.FreelistMapType, InitialMmapSize: initialMap})
+	stored, read, err := verify(path)
 	if err != nil {
-		return nil, stored, &FileError{Path: path, Cause: err}
+		return nil, consensus.Stored{}, err
 	}
-	j = &Journal{db: db, path: path}
-	if err := j.identify(cluster, id); err != nil {
-		return nil, stored, err
-	}
-	stored, err = j.load()
+	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true,
+		FreelistType: bbolt.FreelistMapType, InitialMmapSize: initialMap})
 	if err != nil {
-		return nil, stored, err
+		return nil, consensus.Stored{}, &FileError{Path: path, Cause: err}
+	}
+	j := &Journal{db: db, path: path, read: read}
+	if err := errors.CombineErrors(j.identify(cluster, id), syncFolder(dir)); err != nil {
+		_ = db.Close()
+		return nil, consensus.Stored{}, err
 	}
-	return j, stored, syncFolder(dir)
+	return j, stored, nil
 }
 
 // prepare makes the folder and checks the head of an existing file.
