Put links only before what a scenario loses

Cause: association/burst-top failed 2 of 2352 top-class calls with too many open files: ten descriptors a request in flight, 20000 allowed. Change: links only for a failure domain that an event loses. Conclusion: the other scenarios measure the path without an extra hop.

--- a/internal/experiment/embedded.go
+++ b/internal/experiment/embedded.go
@@ -50,7 +50,7 @@
 }
 
 // embedded is the whole system in this process. Everything of a failure
-// domain is reached through links that can be cut.
+// domain that will be lost is reached through links that can be cut.
 type embedded struct {
 	core   *daemon.Embedded
 	admin  trefoilkeelv1connect.AdminServiceClient
@@ -59,6 +59,8 @@
 	mu    sync.Mutex
 	entry []entry
 	links map[string][]*link // by failure domain
+
+	losing map[string]bool // failure domains that an event will lose
 }
 
 // entry is one router as the platform's balancer sees it.
@@ -74,7 +76,7 @@
 // each endpoint, all in this process on loopback.
 func StartEmbedded(logger *slog.Logger) Starter {
 	return func(ctx context.Context, s *Scenario, f *Fleet) (System, error) {
-		e := &embedded{links: map[string][]*link{}}
+		e := &embedded{links: map[string][]*link{}, losing: s.lostDomains()}
 		if err := e.start(ctx, s, f, logger); err != nil {
 			stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 			defer cancel()
@@ -111,8 +113,11 @@
 	return e.waitReady(ctx, len(f.Members))
 }
 
-// linked puts a link before a base URL.
+// linked puts a link before a base URL if the domain is to be lost.
 func (e *embedded) linked(domain, url string) (string, error) {
+	if !e.losing[domain] {
+		return url, nil
+	}
 	l, err := newLink(url[len("http://"):])
 	if err != nil {
 		return "", err
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -246,3 +246,14 @@
 	sort.Strings(list)
 	return list
 }
+
+// lostDomains are the failure domains that an event loses.
+func (s *Scenario) lostDomains() map[string]bool {
+	lost := map[string]bool{}
+	for i := range s.Events {
+		if s.Events[i].Kind == EventLoseDomain {
+			lost[s.Events[i].Domain] = true
+		}
+	}
+	return lost
+}
