Kill, pause and restart real processes under load and count what must not happen

Cause: the promises were proved in one process; failures come to real ones. Change: make drill starts 3 control hosts, 3 routers and 6 agents as processes on loopback, brings eleven faults about in a seeded order (leader killed, host paused for 6 s and resumed, data folder emptied and then another host killed, agents and routers killed, paused and stopped as planned, control restarted one by one, everything killed), and counts from the stand-ins' records.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run
+.PHONY: build test demo run drill
 
 build:
 	go build -o bin/ ./cmd/...
@@ -13,3 +13,9 @@
 # run leaves the same system running until it is interrupted.
 run: build
 	./bin/trefoilkeeld --embedded
+
+# drill kills, pauses and restarts real processes under a light load. SEED
+# chooses the order and the victims.
+SEED ?= 20261203
+drill: build
+	go test ./internal/drill -count=1 -v -run TestDrill -drill.bin=$(CURDIR)/bin/trefoilkeeld -drill.seed=$(SEED)
