Prefer endpoints that hold the prompt's prefix and have a free slot

Cause: a quarter of the prompts found their prefix in a cache, by chance. Change: a bounded index from prefix blocks to endpoints, fed by cache events that may be late, lost or out of order and by the requests sent; holders with a free slot are scored beside the random candidates.

--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -22,6 +22,9 @@
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
 			t := newTable(loaded(engines(n)))
 			random := seeded()
+			for i := range 4 {
+				t.Cached(CacheEvent{Endpoint: fmt.Sprintf("e%03d", i), Incarnation: 1, Sequence: 1, Stored: []uint64{1, 2, 3, 4}})
+			}
 			r := Request{Workspace: "w", Target: "m", Kind: engine, Tier: 1, Class: "stage", Prefix: []uint64{1, 2, 3, 4}}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -24,6 +24,9 @@
 			best, reason = other, ReasonSpill
 		}
 	}
+	if holder := t.bestHolder(&r, best); holder != nil {
+		best, reason = holder, ReasonAffinity
+	}
 	if len(t.fit) == 1 {
 		reason = ReasonOnly
 	}
@@ -45,6 +48,7 @@
 	if e.ejected {
 		e.probing = true
 	}
+	t.sent(e, r.Prefix)
 	mayMove := len(r.Tried) == 0 && len(r.Busy) == 0 && len(t.fit) > 1
 	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason, MayMove: mayMove}, nil
 }
@@ -53,6 +57,7 @@
 func (t *Table) filter(now time.Time, r *Request) NoEndpointError {
 	missing := NoEndpointError{Target: r.Target, Workspace: r.Workspace}
 	t.fit = t.fit[:0]
+	t.choices++
 	for _, p := range t.pools[target{kind: r.Kind, name: r.Target}] {
 		if !p.group.admits(r.Workspace) {
 			continue
@@ -69,6 +74,7 @@
 				missing.Unfit++
 			case e.ejected && (e.probing || e.ejectedUntil.After(now)):
 			default:
+				e.fitAt = t.choices
 				t.fit = append(t.fit, e)
 			}
 		}
@@ -130,6 +136,27 @@
 	return best, bestScore
 }
 
+// bestHolder scores the endpoints that hold the longest part of the prefix
+// and returns the one that beats best. One without a free slot is passed over,
+// so that a prefix in demand spreads over more endpoints.
+func (t *Table) bestHolder(r *Request, best *endpoint) *endpoint {
+	held, _ := t.affinity.longest(r.Prefix)
+	if held == nil {
+		return nil
+	}
+	var better *endpoint
+	cost := t.score(best, r).Cost
+	for _, h := range held.holders {
+		if h.endpoint == nil || h.endpoint == best || h.endpoint.fitAt != t.choices || h.endpoint.wait(r.Tier) > 0 {
+			continue
+		}
+		if s := t.score(h.endpoint, r); s.Cost < cost {
+			better, cost = h.endpoint, s.Cost
+		}
+	}
+	return better
+}
+
 // betweenTarget is the target between tokens of a class; 0 if there is none.
 func (t *Table) betweenTarget(class string) time.Duration {
 	return time.Duration(t.classes[class].BetweenTokensTarget)
@@ -139,6 +166,10 @@
 func (t *Table) score(e *endpoint, r *Request) Score {
 	s := Score{Endpoint: e.described.GetName(), Own: e.own, Wait: e.wait(r.Tier)}
 	s.Cost = s.Wait + e.firstTokenCost(r.Tier) + e.tooSlow(t.betweenTarget(r.Class))
+	if len(r.Prefix) > 0 {
+		s.Blocks = t.affinity.held(r.Prefix, e)
+		s.Cost -= min(time.Duration(s.Blocks)*t.config.BlockTime, s.Cost-s.Wait)
+	}
 	if !e.own {
 		s.Cost += t.config.DomainCost
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -16,6 +16,10 @@
 	inFlight  int // sent by this router and not ended
 	unseen    int // of these, sent since the last load figure
 
+	cacheSequence uint64 // of the last cache event
+	cacheEpoch    uint64 // grows with each gap in the cache events
+	fitAt         uint64 // number of the last choice that e was fit for
+
 	failures     int // in a row
 	ejections    int // in a row
 	ejectedUntil time.Time
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -112,7 +112,9 @@
 	EjectFor, MaxEjectFor time.Duration
 	// MaxEjectedPercent bounds the ejected endpoints of one group.
 	MaxEjectedPercent int
-	// BlockTime is the time to first token that one cached block saves.
+	// BlockTime is the advantage of one cached block in the score. It is more
+	// than the time that the block saves to this request, because the engine's
+	// other requests gain as well.
 	BlockTime time.Duration
 	// MaxPrefixes bounds the affinity index, in blocks; negative turns it off.
 	MaxPrefixes int
@@ -127,7 +129,7 @@
 	defaultEjectFor        = time.Second
 	defaultMaxEjectFor     = time.Minute
 	defaultMaxEjected      = 50
-	defaultBlockTime       = 2 * time.Millisecond
+	defaultBlockTime       = 100 * time.Millisecond
 	defaultMaxPrefixes     = 1 << 16
 )
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -38,14 +38,18 @@
 	pools     map[target][]pool
 	classes   map[string]ticket.Class
 	budget    *Budget
+	affinity  *affinity
+	choices   uint64
 	fit       []*endpoint // scratch of Choose
 	scores    []Score     // scratch of Choose
 }
 
 // New returns a table without endpoints.
 func New(config Config) *Table {
+	config = config.withDefaults()
 	return &Table{
-		config:    config.withDefaults(),
+		config:    config,
+		affinity:  newAffinity(config.MaxPrefixes),
 		endpoints: map[string]*endpoint{},
 		pools:     map[target][]pool{},
 		budget:    NewBudget(BudgetConfig{}),
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -85,3 +85,50 @@
 		Expect(t.endpoints["e000"].ejected).To(BeFalse())
 	})
 })
+
+var _ = Describe("Affinity", func() {
+	It("counts told blocks fully, assumed ones and those before a gap half", func() {
+		t := newTable(engines(6))
+		prefix := []uint64{1, 2, 3, 4}
+		held := func() int { return t.affinity.held(prefix, t.endpoints["e001"]) }
+		t.sent(t.endpoints["e001"], prefix)
+		Expect(held()).To(Equal(2))
+		t.Cached(CacheEvent{Endpoint: "e001", Incarnation: 1, Sequence: 1, Stored: prefix})
+		Expect(held()).To(Equal(4))
+		t.Cached(CacheEvent{Endpoint: "e001", Incarnation: 1, Sequence: 3, Stored: []uint64{9}})
+		Expect(held()).To(Equal(2))
+		t.Cached(CacheEvent{Endpoint: "e001", Incarnation: 1, Sequence: 2, Removed: prefix})
+		Expect(held()).To(Equal(2))
+		t.Cached(CacheEvent{Endpoint: "e001", Incarnation: 2, Sequence: 4, Removed: prefix})
+		Expect(held()).To(Equal(2))
+		t.Cached(CacheEvent{Endpoint: "e001", Incarnation: 1, Sequence: 4, Removed: prefix})
+		Expect(held()).To(Equal(0))
+	})
+
+	It("prefers a holder in another failure domain only while it has a slot", func() {
+		list := engines(6)
+		t := newTable(list)
+		r := Request{Workspace: "w", Target: "m", Kind: engine, Tier: 1, Prefix: []uint64{7, 8}}
+		t.Cached(CacheEvent{Endpoint: "e001", Incarnation: 1, Sequence: 1, Stored: r.Prefix})
+		for _, e := range list {
+			t.Observe(epoch, e.GetName(), 1, &pb.Load{Running: 1, Slots: 8, ServiceTimeUs: 1e6, FirstTokenUs: 1e5, Sequence: 1})
+		}
+		d, _ := t.Choose(epoch, r, seeded())
+		Expect(d.Endpoint.GetName()).To(Equal("e001"))
+		Expect(d.Reason).To(Equal(ReasonAffinity))
+		t.Observe(epoch, "e001", 1, &pb.Load{Running: 8, Slots: 8, ServiceTimeUs: 1e6, FirstTokenUs: 1e5, Sequence: 2})
+		d, _ = t.Choose(epoch, r, seeded())
+		Expect(d.Endpoint.GetName()).NotTo(Equal("e001"))
+	})
+
+	It("keeps to its bound and forgets untouched blocks first", func() {
+		a := newAffinity(3)
+		e := &endpoint{}
+		for hash := range uint64(100) {
+			a.put(hash, e, true)
+		}
+		Expect(a.blocks).To(HaveLen(3))
+		Expect(a.held([]uint64{99}, e)).To(Equal(1))
+		Expect(a.held([]uint64{0}, e)).To(Equal(0))
+	})
+})
