--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run drill
+.PHONY: build test demo run drill test-long overhead
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,3 +19,13 @@
 SEED ?= 20261203
 drill: build
 	go test ./internal/drill -count=1 -v -run TestDrill -drill.bin=$(CURDIR)/bin/trefoilkeeld -drill.seed=$(SEED)
+
+# test-long runs the agreement's histories at fresh seeds, which it prints.
+# CASES is the number of histories, of about 300 steps each.
+CASES ?= 5000
+test-long:
+	CONSENSUS_LONG_CASES=$(CASES) go test -v -count=1 -timeout 0 -run TestPropertiesLong ./internal/consensus
+
+# overhead compares the path with a direct call, in one run.
+overhead:
+	go test ./internal/daemon -run XXX -bench 'FirstByte|RelayedToken|StreamMemory' -benchtime 3x
