Enforce the workspaces' limits over all routers

Cause: the limits package had no shell: a workspace's limit bound nothing. Change: each router admits through a gate, reports the use of limited workspaces to control once a second and takes the sums back; the leader holds the sums in memory. While control is out of reach a router enforces its own part. The refusal says not-run, for a protected request unknown. Before and after: a workspace limited to 2 at a time had a third request answered; now it gets limit_exceeded and is let in afterwards (spec).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,12 +87,13 @@
 	}
 }
 
-// Handler serves the Directory, Ledger and Admin services.
+// Handler serves the Directory, Ledger, Usage and Admin services.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	bound := connect.WithReadMaxBytes(rpc.MaxMessageBytes)
 	mux.Handle(trefoilkeelv1connect.NewDirectoryServiceHandler(&directoryService{s}, bound))
 	mux.Handle(trefoilkeelv1connect.NewLedgerServiceHandler(&ledgerService{s}, bound))
+	mux.Handle(trefoilkeelv1connect.NewUsageServiceHandler(newUsageService(s), bound))
 	mux.Handle(admin.NewHandler(&backend{s}, s.auth, s.logger))
 	return mux
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -53,9 +53,20 @@
 		Logger:  d.logger,
 	})
 	d.router = role
+	d.tree.Add("usage reports", func(ctx context.Context) error { return role.router.ReportUsage(ctx, d.usageClients()) })
 	d.tree.Add("router", role.run)
 }
 
+// usageClients call the sums of usage at each control host.
+func (d *Daemon) usageClients() []trefoilkeelv1connect.UsageServiceClient {
+	client := d.rpcClient()
+	var hosts []trefoilkeelv1connect.UsageServiceClient
+	for _, url := range d.controlURLs() {
+		hosts = append(hosts, trefoilkeelv1connect.NewUsageServiceClient(client, url))
+	}
+	return hosts
+}
+
 // ledgerClient calls the ledger at the control hosts in turn.
 func (d *Daemon) ledgerClient() trefoilkeelv1connect.LedgerServiceClient {
 	client := d.rpcClient()
--- a/internal/router/ordinary.go
+++ b/internal/router/ordinary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -194,6 +195,7 @@
 	if err != nil {
 		return j.failed(ctx, t, err)
 	}
+	j.query.tokens = usedTokens(body)
 	j.router.writeAnswer(j.writer, j.query, response.StatusCode, response.Header, body)
 	if response.StatusCode >= http.StatusInternalServerError {
 		return routing.Failed, true
@@ -213,6 +215,17 @@
 	return body, nil
 }
 
+// usedTokens reads the engine's own count of an answer's tokens, 0 if there is none.
+func usedTokens(body []byte) int {
+	var answer struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	_ = json.Unmarshal(body, &answer)
+	return answer.Usage.CompletionTokens
+}
+
 // writeAnswer sends a whole answer.
 func (rt *Router) writeAnswer(w http.ResponseWriter, q *query, status int, header http.Header, body []byte) {
 	h := w.Header()
--- a/internal/router/query.go
+++ b/internal/router/query.go
@@ -45,6 +45,7 @@
 	protected bool
 	key       string // caller's Idempotency-Key
 	digest    []byte
+	tokens    int // of the answer, as far as the router can count them
 }
 
 // deadline is when the answer must be whole.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,12 +43,13 @@
 	keys     atomic.Pointer[keyIndex]
 	stopping atomic.Bool
 	requests *requestIDs
+	gate     *gate
 	counts   counts
 }
 
 // New returns a router. It serves once the source has a configuration.
 func New(options Options) *Router {
-	rt := &Router{options: options, logger: options.Logger}
+	rt := &Router{options: options, logger: options.Logger, gate: newGate()}
 	rt.picker = newPicker(options.Routing, options.Source)
 	rt.requests = newRequestIDs(options.Name)
 	return rt
@@ -113,6 +114,11 @@
 
 // serve runs a classified request to its end.
 func (rt *Router) serve(w http.ResponseWriter, r *http.Request, q *query) {
+	if refused := rt.gate.enter(q); refused != nil {
+		rt.refuse(w, q, refused)
+		return
+	}
+	defer rt.gate.leave(q)
 	if q.protected {
 		rt.serveProtected(w, r, q)
 		return
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -42,6 +42,7 @@
 		j.router.logger.Info("resume", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(), "events", j.stream.events)
 	}
 	err := j.copyEvents(response.Body)
+	j.query.tokens = j.stream.events
 	whole := err == nil && j.stream.done && response.Trailer.Get(dispatch.HeaderOutcome) == dispatch.Whole
 	if whole || (ctx.Err() == nil && j.finishOver()) {
 		j.streamDone()
