--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,6 +79,36 @@
 	members []Member
 	hosts   map[uint64]*host
 	adjust  func(*Options)
+	bytes   atomic.Int64 // sent and received on the connections, once each way
+}
+
+// countedConn counts the bytes of a connection at the accepting side.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// countedListener counts the bytes of all its connections.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countedConn{Conn: conn, bytes: l.bytes}, err
 }
 
 func newCluster(tb testing.TB, count int, adjust func(*Options)) *cluster {
@@ -108,7 +139,7 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
-	h.listener = listener
+	h.listener = &countedListener{Listener: listener, bytes: &c.bytes}
 	h.url = "http://" + listener.Addr().String()
 }
 
