Check that a vote waits for its sync and hosts change one at a time

Cause: a trial that sent votes before their sync, and one that let two changes of the hosts run at once, went unnoticed by the random histories. Change: two specs look at the step function itself: no vote reply among the messages to send at once, one vote a term, and a second change refused while the first is not committed. Conclusion: rules whose breach needs a rare order are checked directly.

--- a/internal/consensus/suite_test.go
+++ b/internal/consensus/suite_test.go
@@ -232,3 +232,37 @@
 			Entries: []Entry{{Index: 4, Term: 1}}}, uint64(4)),
 	)
 })
+
+var _ = ginkgo.Describe("what must not come too early", func() {
+	ginkgo.It("sends a vote only after it is synced, and gives one a term", func() {
+		w, leader := formed()
+		voter, candidate := w.others(leader)
+		w.crash(leader)
+		w.advance(3 * time.Second)
+		ask := Message{Type: MsgVote, From: candidate.id, To: voter.id, Disk: candidate.disk, ToDisk: voter.disk,
+			Formation: voter.node.hard.Formation, Term: voter.node.hard.Term + 9, Index: 1 << 20, LogTerm: 1 << 20}
+		w.sync(voter)
+		voter.node.TakeMessages()
+		voter.node.Step(w.clock(voter), ask)
+		Expect(voter.node.TakeMessages()).To(BeEmpty())
+		save := voter.node.TakeSave()
+		Expect(save.Hard.Vote).To(Equal(candidate.disk))
+		Expect(save.After).To(HaveLen(1))
+		Expect(save.After[0].Reject).To(BeFalse())
+		ask.From, ask.Disk = leader.id, leader.disk
+		voter.node.Step(w.clock(voter), ask)
+		Expect(voter.node.TakeSave().After[0].Reject).To(BeTrue())
+	})
+
+	ginkgo.It("changes one host at a time", func() {
+		w, leader := formed()
+		_, _, err := leader.node.ChangeMember(w.clock(leader), Member{ID: 4}, false)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = leader.node.ChangeMember(w.clock(leader), Member{ID: 5}, false)
+		Expect(err).To(BeAssignableToTypeOf(&BusyError{}))
+		w.pump(leader)
+		w.run(time.Second)
+		_, _, err = leader.node.ChangeMember(w.clock(leader), Member{ID: 5}, false)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
