--- a/internal/agent/records.go
+++ b/internal/agent/records.go
@@ -146,13 +146,6 @@
 	return rec.phase, rec.answer
 }
 
-// count is the number of attempts remembered.
-func (r *records) count() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.seen)
-}
-
 // ended reports whether a phase is final.
 func ended(phase trefoilkeelv1.RequestPhase) bool {
 	switch phase {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -79,7 +79,7 @@
 		operations:  ring.New[*operation]("ledger operations", settings.LedgerQueue),
 		loads:       newLoads(),
 		beats:       newBeats(),
-		digests:     newDigests(settings.DigestBytes),
+		digests:     newDigests(),
 		subscribers: newSubscribers(settings.MaxSubscribers),
 		leader:      newLeader(settings),
 		fresh:       newFreshness(),
@@ -87,12 +87,13 @@
 	}
 }
 
-// Handler serves the Directory, Ledger and Admin services.
+// Handler serves the Directory, Ledger, Usage and Admin services.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	bound := connect.WithReadMaxBytes(rpc.MaxMessageBytes)
 	mux.Handle(trefoilkeelv1connect.NewDirectoryServiceHandler(&directoryService{s}, bound))
 	mux.Handle(trefoilkeelv1connect.NewLedgerServiceHandler(&ledgerService{s}, bound))
+	mux.Handle(trefoilkeelv1connect.NewUsageServiceHandler(newUsageService(s), bound))
 	mux.Handle(admin.NewHandler(&backend{s}, s.auth, s.logger))
 	return mux
 }
--- a/internal/flow/heap.go
+++ b/internal/flow/heap.go
@@ -4,9 +4,10 @@
 
 // The heaps that a waiting request is in; the index of each is kept in it.
 const (
-	byOrder  = iota // inside its workspace
-	byExpiry        // StartBy, inside its tier
-	byTarget        // when it stops being on time, inside its tier
+	byOrder   = iota // inside its workspace
+	byExpiry         // StartBy, inside its tier
+	byTarget         // when it stops being on time, inside its tier
+	byArrival        // inside its tier
 	heapCount
 )
 
@@ -17,6 +18,7 @@
 	index       [heapCount]int   // -1: not in that heap
 	late        bool
 	ran         bool
+	shielded    bool // started for a starving class
 	preemptions int
 	startedAt   time.Time
 	tokenAt     time.Time // of the last token, zero before the first
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// worthFactor of the time of an answer is how much work of lower tiers may be
+// thrown away for it to start in time.
+const worthFactor = 2
+
 // rescue preempts lower tiers for requests that are about to miss their
 // target or to pass their patience.
 func (q *Queue) rescue(now time.Time) {
@@ -10,22 +14,27 @@
 	}
 	for tier := highestTier; tier < lowestTier; tier++ {
 		t := q.tiers[tier]
-		for due(t.target.head(), byTarget, now) || due(t.expiry.head(), byExpiry, now) {
-			if !q.preemptFor(now, tier) {
-				break
-			}
+		for due(t.expiry.head(), byExpiry, now) && q.preemptFor(now, tier, 0) {
+		}
+		for due(t.target.head(), byTarget, now) && q.preemptFor(now, tier, q.worth(t.target.head())) {
 		}
 	}
 }
 
+// worth is how much work of a lower tier may be thrown away for a request to
+// meet its target: a multiple of the time that its own answer takes.
+func (q *Queue) worth(it *item) time.Duration {
+	return max(worthFactor*q.class(it.Class).service.value, time.Millisecond)
+}
+
 func due(it *item, kind int, now time.Time) bool {
 	return it != nil && it.key[kind] <= now.UnixNano()
 }
 
 // preemptFor frees one slot of a tier below the given one and starts the
 // request that is next; false if there is no such slot.
-func (q *Queue) preemptFor(now time.Time, tier int) bool {
-	it := q.preemptible(now, tier)
+func (q *Queue) preemptFor(now time.Time, tier int, lost time.Duration) bool {
+	it := q.preemptible(now, tier, lost)
 	if it == nil {
 		return false
 	}
@@ -42,7 +51,9 @@
 
 // preemptible returns the running request to preempt first: of the lowest
 // tier below the given one, the one that started last; nil if there is none.
-func (q *Queue) preemptible(now time.Time, above int) *item {
+// lost bounds how long it has run for each tier of distance, 0 for no bound; a
+// request of another tier is never taken in place of one that has run too long.
+func (q *Queue) preemptible(now time.Time, above int, lost time.Duration) *item {
 	var best *item
 	for _, it := range q.running {
 		if it.Tier <= above || !q.mayPreempt(now, it) {
@@ -52,6 +63,9 @@
 			best = it
 		}
 	}
+	if best != nil && lost > 0 && now.Sub(best.startedAt) > lost*time.Duration(best.Tier-above) {
+		return nil
+	}
 	return best
 }
 
@@ -64,6 +78,6 @@
 
 // mayPreempt says that a running request can still be stopped and wait again.
 func (q *Queue) mayPreempt(now time.Time, it *item) bool {
-	return it.Preemptible && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
+	return it.Preemptible && !it.shielded && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
 		it.preemptions < q.config.MaxPreemptions && it.StartBy.After(now)
 }
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -2,10 +2,14 @@
 
 import "time"
 
+// movePart of the time to its target is what a request that may move waits.
+const movePart = 2
+
 // tier holds the waiting requests of one tier.
 type tier struct {
 	onTime, late *fair
 	expiry       heap
+	arrival      heap
 	target       heap // of the requests on time that have a target
 	running      int
 	peak         peak
@@ -14,7 +18,7 @@
 func newTier() *tier {
 	return &tier{
 		onTime: newFair(), late: newFair(),
-		expiry: heap{kind: byExpiry}, target: heap{kind: byTarget},
+		expiry: heap{kind: byExpiry}, arrival: heap{kind: byArrival}, target: heap{kind: byTarget},
 	}
 }
 
@@ -28,13 +32,19 @@
 	}
 	it.key[byExpiry] = it.StartBy.UnixNano()
 	t.expiry.push(it)
+	it.key[byArrival] = it.Arrived.UnixNano()
+	t.arrival.push(it)
 	if it.FirstTokenTarget <= 0 {
 		it.late = false
 		it.key[byOrder] = it.StartBy.UnixNano()
 		t.onTime.add(it)
 		return
 	}
-	startBy := it.Arrived.Add(it.FirstTokenTarget - firstToken)
+	slack := it.FirstTokenTarget - firstToken
+	if it.MayMove {
+		slack /= movePart
+	}
+	startBy := it.Arrived.Add(slack)
 	it.key[byTarget] = startBy.UnixNano()
 	it.late = !startBy.After(now)
 	if it.late {
@@ -49,6 +59,7 @@
 
 func (t *tier) remove(it *item) {
 	t.expiry.remove(it)
+	t.arrival.remove(it)
 	t.target.remove(it)
 	if it.late {
 		t.late.remove(it)
@@ -57,19 +68,23 @@
 	t.onTime.remove(it)
 }
 
-// age moves the requests that can no longer meet their target to the late ones.
-func (t *tier) age(now time.Time) {
-	for {
-		it := t.target.head()
-		if it == nil || it.key[byTarget] > now.UnixNano() {
-			return
-		}
-		t.target.remove(it)
-		t.onTime.remove(it)
-		it.late = true
-		it.key[byOrder] = it.StartBy.UnixNano()
-		t.late.add(it)
+// overdue takes a request that can no longer meet its target out of those on
+// time; nil if there is none. The caller adds it to the late ones or refuses it.
+func (t *tier) overdue(now time.Time) *item {
+	it := t.target.head()
+	if !due(it, byTarget, now) {
+		return nil
 	}
+	t.target.remove(it)
+	t.onTime.remove(it)
+	return it
+}
+
+// addLate puts a request that overdue returned among the late ones.
+func (t *tier) addLate(it *item) {
+	it.late = true
+	it.key[byOrder] = it.StartBy.UnixNano()
+	t.late.add(it)
 }
 
 // take removes the request that is to start next; nil if none waits.
@@ -78,11 +93,12 @@
 	if from.count == 0 {
 		from = t.late
 	}
-	if from.count == 0 {
+	it := from.take()
+	if it == nil {
 		return nil
 	}
-	it := from.take()
 	t.expiry.remove(it)
+	t.arrival.remove(it)
 	t.target.remove(it)
 	return it
 }
@@ -97,11 +113,9 @@
 
 // oldest returns the earliest arrival among the waiting requests.
 func (t *tier) oldest() (time.Time, bool) {
-	var first time.Time
-	for _, it := range t.expiry.items {
-		if first.IsZero() || it.Arrived.Before(first) {
-			first = it.Arrived
-		}
+	it := t.arrival.head()
+	if it == nil {
+		return time.Time{}, false
 	}
-	return first, !first.IsZero()
+	return it.Arrived, true
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -9,31 +9,55 @@
 func (t *Table) Choose(now time.Time, r Request, rand Rand) (Decision, error) {
 	missing := t.filter(now, &r)
 	t.scores = t.scores[:0]
+	if len(t.fit) == 0 && len(r.Busy) > 0 {
+		return t.backToBusy(now, r, rand)
+	}
 	if len(t.fit) == 0 {
-		return t.lastResort(now, &r, missing)
+		return t.lastResort(&r, missing)
 	}
 	own := t.partition()
-	best, reason := t.bestOfTwo(t.fit[:own], &r, rand)
-	if best == nil || t.scoreOf(best).Wait >= t.config.SpillWait {
-		other, _ := t.bestOfTwo(t.fit[own:], &r, rand)
-		if other != nil && (best == nil || t.scoreOf(other).Cost < t.scoreOf(best).Cost) {
+	best, score := t.bestOf(t.fit[:own], &r, rand)
+	reason := ReasonBetter
+	if best == nil || score.Cost >= t.config.SpillCost {
+		other, otherScore := t.bestOf(t.fit[own:], &r, rand)
+		if best == nil || other != nil && otherScore.Cost < score.Cost {
 			best, reason = other, ReasonSpill
 		}
 	}
-	return t.decide(now, best, reason)
+	if holder := t.bestHolder(&r, best); holder != nil {
+		best, reason = holder, ReasonAffinity
+	}
+	if len(t.fit) == 1 {
+		reason = ReasonOnly
+	}
+	return t.decide(&r, best, reason)
+}
+
+// backToBusy chooses among the endpoints that gave the request back.
+func (t *Table) backToBusy(now time.Time, r Request, rand Rand) (Decision, error) {
+	r.Busy = nil
+	d, err := t.Choose(now, r, rand)
+	d.MayMove = false
+	if err == nil && d.Reason != ReasonEjected {
+		d.Reason = ReasonBusy
+	}
+	return d, err
 }
 
-func (t *Table) decide(now time.Time, e *endpoint, reason string) (Decision, error) {
+func (t *Table) decide(r *Request, e *endpoint, reason string) (Decision, error) {
 	if e.ejected {
 		e.probing = true
 	}
-	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason}, nil
+	t.sent(e, r.Prefix)
+	mayMove := len(r.Tried) == 0 && len(r.Busy) == 0 && len(t.fit) > 1
+	return Decision{Endpoint: e.described, Candidates: t.scores, Reason: reason, MayMove: mayMove}, nil
 }
 
 // filter fills t.fit and counts what was left out.
 func (t *Table) filter(now time.Time, r *Request) NoEndpointError {
 	missing := NoEndpointError{Target: r.Target, Workspace: r.Workspace}
 	t.fit = t.fit[:0]
+	t.choices++
 	for _, p := range t.pools[target{kind: r.Kind, name: r.Target}] {
 		if !p.group.admits(r.Workspace) {
 			continue
@@ -45,10 +69,12 @@
 				missing.Leaving++
 			case len(r.Tried) > 0 && slices.Contains(r.Tried, e.described.GetName()):
 				missing.Tried++
+			case len(r.Busy) > 0 && slices.Contains(r.Busy, e.described.GetName()):
 			case r.LowerTierOnly && !e.lowerTier(r.Tier):
 				missing.Unfit++
 			case e.ejected && (e.probing || e.ejectedUntil.After(now)):
 			default:
+				e.fitAt = t.choices
 				t.fit = append(t.fit, e)
 			}
 		}
@@ -58,7 +84,7 @@
 
 // lastResort picks an ejected endpoint where nothing else is left: the one
 // whose ejection ends first.
-func (t *Table) lastResort(now time.Time, r *Request, missing NoEndpointError) (Decision, error) {
+func (t *Table) lastResort(r *Request, missing NoEndpointError) (Decision, error) {
 	var best *endpoint
 	for _, p := range t.pools[target{kind: r.Kind, name: r.Target}] {
 		if !p.group.admits(r.Workspace) {
@@ -80,7 +106,7 @@
 		return Decision{}, &missing
 	}
 	t.score(best, r)
-	return t.decide(now, best, ReasonEjected)
+	return t.decide(r, best, ReasonEjected)
 }
 
 // partition puts the own failure domain first and returns its size.
@@ -95,46 +121,58 @@
 	return own
 }
 
-// bestOfTwo scores two random endpoints of from and returns the better.
-func (t *Table) bestOfTwo(from []*endpoint, r *Request, rand Rand) (*endpoint, string) {
-	switch len(from) {
-	case 0:
-		return nil, ""
-	case 1:
-		t.score(from[0], r)
-		return from[0], ReasonOnly
-	}
-	i := rand.IntN(len(from))
-	j := rand.IntN(len(from) - 1)
-	if j >= i {
-		j++
-	}
-	a, b := t.score(from[i], r), t.score(from[j], r)
-	if b < a {
-		return from[j], ReasonBetter
-	}
-	return from[i], ReasonBetter
+// bestOf scores a few random endpoints of from and returns the best. It
+// reorders from.
+func (t *Table) bestOf(from []*endpoint, r *Request, rand Rand) (*endpoint, Score) {
+	var best *endpoint
+	var bestScore Score
+	for i := range min(len(from), t.config.Choices) {
+		j := i + rand.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+		if s := t.score(from[i], r); best == nil || s.Cost < bestScore.Cost {
+			best, bestScore = from[i], s
+		}
+	}
+	return best, bestScore
+}
+
+// bestHolder scores the endpoints that hold the longest part of the prefix
+// and returns the one that beats best. One without a free slot is passed over,
+// so that a prefix in demand spreads over more endpoints.
+func (t *Table) bestHolder(r *Request, best *endpoint) *endpoint {
+	held, _ := t.affinity.longest(r.Prefix)
+	if held == nil {
+		return nil
+	}
+	var better *endpoint
+	cost := t.score(best, r).Cost
+	for _, h := range held.holders {
+		if h.endpoint == nil || h.endpoint == best || h.endpoint.fitAt != t.choices || h.endpoint.wait(r.Tier) > 0 {
+			continue
+		}
+		if s := t.score(h.endpoint, r); s.Cost < cost {
+			better, cost = h.endpoint, s.Cost
+		}
+	}
+	return better
 }
 
-// score appends the estimate for e and returns its cost.
-func (t *Table) score(e *endpoint, r *Request) time.Duration {
+// betweenTarget is the target between tokens of a class; 0 if there is none.
+func (t *Table) betweenTarget(class string) time.Duration {
+	return time.Duration(t.classes[class].BetweenTokensTarget)
+}
+
+// score appends the estimate for e and returns it.
+func (t *Table) score(e *endpoint, r *Request) Score {
 	s := Score{Endpoint: e.described.GetName(), Own: e.own, Wait: e.wait(r.Tier)}
-	s.Cost = s.Wait
-	if e.load != nil {
-		s.Cost += e.firstToken() + e.serviceTime()*time.Duration(e.busy())/100
+	s.Cost = s.Wait + e.firstTokenCost(r.Tier) + e.tooSlow(t.betweenTarget(r.Class))
+	if len(r.Prefix) > 0 {
+		s.Blocks = t.affinity.held(r.Prefix, e)
+		s.Cost -= min(time.Duration(s.Blocks)*t.config.BlockTime, s.Cost-s.Wait)
 	}
 	if !e.own {
 		s.Cost += t.config.DomainCost
 	}
 	t.scores = append(t.scores, s)
-	return s.Cost
-}
-
-func (t *Table) scoreOf(e *endpoint) Score {
-	for _, s := range t.scores {
-		if s.Endpoint == e.described.GetName() {
-			return s
-		}
-	}
-	return Score{}
+	return s
 }
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -22,6 +22,7 @@
 	cachedEach  = 6 * time.Millisecond    // the same with its prefix in the cache
 	engineBatch = 48                      // further requests wait inside the engine
 	cacheSize   = 8                       // prefixes that an engine keeps
+	eventsLost  = 5                       // one cache event in so many is lost
 	hop         = 3 * time.Millisecond
 )
 
@@ -41,13 +42,14 @@
 
 // scenario is a run of the model.
 type scenario struct {
-	name     string
-	engines  int
-	routers  int
-	length   time.Duration
-	lag      time.Duration // of the load digest
-	classes  []class
-	prefixes int // distinct prompt prefixes, 0 for none
+	name       string
+	engines    int
+	routers    int
+	length     time.Duration
+	lag        time.Duration // of the load digest
+	classes    []class
+	hotPercent int // of the prompts that share the first prefix
+	prefixes   int // distinct prompt prefixes, 0 for none
 	// trouble changes engines in the course of the run.
 	slow    map[int]float64 // engine to factor, from troubleAt on
 	crash   []int           // engines that refuse everything from troubleAt on
@@ -62,41 +64,45 @@
 	roundRobin bool
 	oneTier    bool // no tiers, first in first out
 	walk       bool // try other candidates after a refusal
+	noEvents   bool // engines publish no cache events
+	rigid      bool // nothing is preempted after its first token
 	move       bool // agents may bounce a request that would start late
-	leastWait  bool // the least loaded by the router's figures
 }
 
 type tally struct {
 	offered, attained, finished, refused, late, slow int
 	ttft                                             []time.Duration
-	starts                                           []time.Duration
+	ends                                             []time.Duration // since the start of the run
 }
 
 type job struct {
-	class     *class
-	request   flow.Request
-	router    int
-	prefix    uint64
-	length    int
-	made      int
-	joined    bool
-	first     time.Time
-	tried     []string
-	at        int
-	hops      int
-	preempted int
+	class       *class
+	request     flow.Request
+	router      int
+	prefix      uint64
+	length      int
+	made        int
+	joined      bool
+	everStarted bool
+	first       time.Time
+	tried       []string
+	refused     flow.Reason
+	busy        []string
+	mayMove     bool
+	at          int
 }
 
 type engineModel struct {
-	name    string
-	queue   *flow.Queue
-	running []*job
-	joining []*job
-	cache   []uint64
-	factor  float64
-	dead    bool
-	ticking bool
-	wakeAt  time.Time
+	name          string
+	queue         *flow.Queue
+	running       []*job
+	joining       []*job
+	cache         []uint64
+	cacheSequence uint64
+	factor        float64
+	dead          bool
+	ticking       bool
+	wakeAt        time.Time
 }
 
 type event struct {
@@ -117,23 +123,26 @@
 
 // world is one run in virtual time.
 type world struct {
-	scenario   scenario
-	policy     policy
-	rand       *rand.Rand
-	now        time.Time
-	events     events
-	seq        int
-	engines    []*engineModel
-	tables     []*routing.Table
-	turn       int
-	jobs       map[string]*job
-	tallies    map[string]*tally
-	tokens     int
-	wasted     int
-	dispatched int
-	arrivals   int
-	violations []string
+	scenario      scenario
+	policy        policy
+	rand          *rand.Rand
+	now           time.Time
+	events        events
+	seq           int
+	engines       []*engineModel
+	tables        []*routing.Table
+	turn          int
+	jobs          map[string]*job
+	tallies       map[string]*tally
+	tokens        int
+	wasted        int
+	dispatched    int
+	preempted     int
+	prompts, hits int
+	arrivals      int
+	violations    []string
 	// onActions sees the actions of an engine's queue, for properties.
+	onRefused func(j *job, reason flow.Reason)
 	onActions func(e *engineModel, actions []flow.Action)
 }
 
@@ -187,6 +196,9 @@
 func (w *world) digest() {
 	state := ticket.NewState()
 	state.EndpointGroups["g"] = ticket.EndpointGroup{Name: "g", Workspaces: []string{"*"}, Models: []string{"m"}}
+	for _, c := range w.scenario.classes {
+		state.Classes[c.name] = ticket.Class{Name: c.name, BetweenTokensTarget: ticket.Duration(c.between)}
+	}
 	var list []*pb.Endpoint
 	for i, e := range w.engines {
 		list = append(list, &pb.Endpoint{
@@ -225,11 +237,14 @@
 		if w.scenario.prefixes > 0 {
 			prefix = 1 + uint64(min(r.IntN(w.scenario.prefixes), r.IntN(w.scenario.prefixes)))
 		}
+		if r.IntN(100) < w.scenario.hotPercent {
+			prefix = 1
+		}
 		arrived := modelEpoch.Add(at)
 		j := &job{class: c, length: min(length, 4000), router: r.IntN(w.scenario.routers), prefix: prefix, request: flow.Request{
 			ID: fmt.Sprintf("%s-%d", c.name, n), Tier: c.tier, Class: c.name, Workspace: workspace, Share: 1,
 			Arrived: arrived, StartBy: arrived.Add(c.patience), Deadline: arrived.Add(c.deadline), Bytes: 1000,
-			Preemptible: true, PreemptibleAfterToken: true, FirstTokenTarget: c.first, BetweenTokensTarget: c.between,
+			Preemptible: true, PreemptibleAfterToken: !w.policy.rigid, FirstTokenTarget: c.first, BetweenTokensTarget: c.between,
 		}}
 		if w.policy.oneTier {
 			j.request.Tier = 1
@@ -256,16 +271,17 @@
 	}
 	r := routing.Request{
 		Workspace: j.request.Workspace, Target: "m", Kind: pb.EndpointKind_ENDPOINT_KIND_ENGINE,
-		Class: j.class.name, Tier: j.request.Tier, Tried: j.tried,
+		Class: j.class.name, Tier: j.request.Tier, Tried: j.tried, Busy: j.busy,
 	}
 	if j.prefix > 0 {
-		r.Prefix = []uint64{j.prefix, j.prefix << 8, j.prefix << 16, j.prefix << 24}
+		r.Prefix = blocks(j.prefix)
 	}
 	d, err := t.Choose(w.now, r, w.rand)
 	if err != nil {
-		w.end(j, false)
+		w.tell(j, j.refused)
 		return
 	}
+	j.mayMove = d.MayMove
 	w.dispatch(j, w.index(d.Endpoint.GetName()))
 }
 
@@ -283,9 +299,8 @@
 			w.failed(e, j)
 			return
 		}
-		w.dispatched++
 		j.at = i
-		j.request.MayMove = w.policy.move && len(j.tried) < 2
+		j.request.MayMove = w.policy.move && j.mayMove
 		w.act(e, e.queue.Arrive(w.now, j.request))
 	})
 }
@@ -328,11 +343,13 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case flow.Start:
+			w.dispatched++
 			j := w.jobs[a.ID]
-			w.tallies[j.class.name].starts = append(w.tallies[j.class.name].starts, w.now.Sub(modelEpoch))
+			j.everStarted = true
 			e.joining = append(e.joining, j)
 			w.tick(e)
 		case flow.Preempt:
+			w.preempted++
 			j := w.jobs[a.ID]
 			drop := func(other *job) bool { return other == j }
 			e.running = slices.DeleteFunc(e.running, drop)
@@ -359,13 +376,28 @@
 	t.Finished(w.now, e.name, j.request.Tier, routing.Refused)
 	t.Observe(w.now, e.name, 1, e.queue.Load(w.now))
 	if w.policy.walk && (r.Reason == flow.Overloaded || r.Reason == flow.Busy) && !r.Ran {
-		j.tried = append(j.tried, e.name)
+		if r.Reason == flow.Busy {
+			j.busy = append(j.busy, e.name)
+		} else {
+			j.tried = append(j.tried, e.name)
+		}
+		j.refused, j.at = r.Reason, -1
 		w.in(hop, func() { w.route(j) })
 		return
 	}
+	w.tell(j, r.Reason)
+}
+
+// tell passes a refusal to the caller.
+func (w *world) tell(j *job, reason flow.Reason) {
+	if w.onRefused != nil {
+		w.onRefused(j, reason)
+	}
 	w.end(j, false)
 }
 
+func (j *job) hasTried(name string) bool { return slices.Contains(j.tried, name) }
+
 func (w *world) end(j *job, whole bool) {
 	delete(w.jobs, j.request.ID)
 	t := w.tallies[j.class.name]
@@ -374,6 +406,7 @@
 		return
 	}
 	t.finished++
+	t.ends = append(t.ends, w.now.Sub(modelEpoch))
 	ttft := j.first.Sub(j.request.Arrived)
 	t.ttft = append(t.ttft, ttft)
 	between := time.Duration(0)
@@ -405,7 +438,7 @@
 		j := e.joining[0]
 		e.joining = e.joining[1:]
 		e.running = append(e.running, j)
-		took += e.prefill(j.prefix)
+		took += w.prefill(e, j.prefix)
 	}
 	if len(e.running) == 0 {
 		e.ticking = false
@@ -416,22 +449,39 @@
 }
 
 // prefill is the time to read a prompt, and keeps its prefix.
-func (e *engineModel) prefill(prefix uint64) time.Duration {
+func (w *world) prefill(e *engineModel, prefix uint64) time.Duration {
 	if prefix == 0 {
 		return prefillEach
 	}
 	i := slices.Index(e.cache, prefix)
+	w.prompts++
 	if i >= 0 {
+		w.hits++
 		e.cache = append(slices.Delete(e.cache, i, i+1), prefix)
 		return cachedEach
 	}
 	e.cache = append(e.cache, prefix)
+	event := routing.CacheEvent{Endpoint: e.name, Incarnation: 1, Sequence: e.cacheSequence + 1, Stored: blocks(prefix)}
+	e.cacheSequence++
 	if len(e.cache) > cacheSize {
+		event.Removed = blocks(e.cache[0])
 		e.cache = e.cache[1:]
 	}
+	if !w.policy.noEvents && w.rand.IntN(eventsLost) > 0 {
+		w.in(w.scenario.lag, func() {
+			for _, t := range w.tables {
+				t.Cached(event)
+			}
+		})
+	}
 	return prefillEach
 }
 
+// blocks are the hashes of the blocks of a prefix.
+func blocks(prefix uint64) []uint64 {
+	return []uint64{prefix, prefix << 8, prefix << 16, prefix << 24}
+}
+
 func (w *world) stepped(e *engineModel) {
 	for _, j := range slices.Clone(e.running) {
 		if !slices.Contains(e.running, j) {
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -14,6 +14,7 @@
 
 var comparePolicies = flag.Bool("policies", false, "print the comparison of policies in the model")
 
+var onlyPolicy = flag.String("only", "", "part of the name of the policies to print")
 var onlyScenario = flag.String("scenario", "", "part of the name of the scenarios to print")
 
 // mix is the classes of the rally desk; the rates are for twelve engines.
@@ -55,7 +56,11 @@
 	hot := base("prefixes")
 	hot.prefixes = 40
 	hot.classes = mix(1.6)
-	return []scenario{steady, low, top, fault, hot}
+	one := hot
+	one.name = "hot-prefix"
+	one.classes = mix(1.6)
+	one.hotPercent = 70
+	return []scenario{steady, low, top, fault, hot, one}
 }
 
 func baseline() policy {
@@ -64,7 +69,7 @@
 }
 
 func full() policy {
-	return policy{name: "full", walk: true, flow: flow.Config{Slots: 32, Adaptive: true},
+	return policy{name: "full", walk: true, move: true, flow: flow.Config{Slots: 32, Adaptive: true},
 		routing: routing.Config{}}
 }
 
@@ -78,14 +83,24 @@
 	}
 	return []policy{
 		baseline(), full(),
-		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
+		with("affinity-none", func(p *policy) { p.routing.MaxPrefixes = -1 }),
+		with("affinity-10ms", func(p *policy) { p.routing.BlockTime = 10 * time.Millisecond }),
+		with("affinity-30ms", func(p *policy) { p.routing.BlockTime = 30 * time.Millisecond }),
+		with("affinity-100ms", func(p *policy) { p.routing.BlockTime = 100 * time.Millisecond }),
+		with("affinity-300ms", func(p *policy) { p.routing.BlockTime = 300 * time.Millisecond }),
+		with("affinity-noevents", func(p *policy) { p.routing.BlockTime, p.noEvents = 100*time.Millisecond, true }),
+		with("rigid", func(p *policy) { p.rigid = true }),
+		with("headroom-100", func(p *policy) { p.flow.HeadroomPercent = 100 }),
 		with("no-headroom", func(p *policy) { p.flow.HeadroomPercent = -1 }),
-		with("headroom-50", func(p *policy) { p.flow.HeadroomPercent = 50 }),
+		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
 		with("fixed-16", func(p *policy) { p.flow = flow.Config{Slots: 16} }),
 		with("fixed-32", func(p *policy) { p.flow = flow.Config{Slots: 32} }),
-		with("fixed-48", func(p *policy) { p.flow = flow.Config{Slots: 48} }),
-		with("move", func(p *policy) { p.move = true }),
-		with("no-affinity", func(p *policy) { p.routing.MaxPrefixes = -1 }),
+		with("no-move", func(p *policy) { p.move = false }),
+		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
+		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
+		with("least-cost", func(p *policy) { p.routing.Choices = 1000 }),
+		with("spill-20", func(p *policy) { p.routing.SpillCost = 20 * time.Millisecond }),
+		with("spill-200", func(p *policy) { p.routing.SpillCost = 200 * time.Millisecond }),
 	}
 }
 
@@ -108,8 +123,9 @@
 			100*float64(t.finished)/float64(max(t.offered, 1)), 100*float64(t.late)/float64(max(t.offered, 1)),
 			100*float64(t.slow)/float64(max(t.offered, 1)), percentile(t.ttft, 95).Milliseconds())
 	}
-	fmt.Fprintf(&b, " good/s %5.1f waste %4.1f%% load %.3f", float64(good)/w.scenario.length.Seconds(),
-		100*float64(w.wasted)/float64(max(w.tokens, 1)), float64(w.dispatched)/float64(max(w.arrivals, 1)))
+	fmt.Fprintf(&b, " good/s %5.1f waste %4.1f%% load %.3f hits %.1f%%", float64(good)/w.scenario.length.Seconds(),
+		100*float64(w.wasted)/float64(max(w.tokens, 1)), float64(w.dispatched)/float64(max(w.arrivals, 1)),
+		100*float64(w.hits)/float64(max(w.prompts, 1)))
 	return b.String()
 }
 
@@ -123,6 +139,9 @@
 			continue
 		}
 		for _, p := range policies() {
+			if !strings.Contains(p.name, *onlyPolicy) {
+				continue
+			}
 			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, 1).run().summary())
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,6 +1,6 @@
 // Package routing chooses the endpoint of a request at a router: it filters
 // the endpoints that may serve it, scores a few of them by the time that the
-// request would lose there, and picks the better of two random ones.
+// request would lose there, and picks the best of a few random ones.
 //
 // A Table has no clock, goroutine or I/O, and takes its randomness from the
 // caller. It is not safe for concurrent use.
@@ -23,6 +23,9 @@
 	Prefix    []uint64 // hashes of the prompt's leading blocks, each over all before it
 	Bytes     int
 	Tried     []string // endpoints that refused or failed this request
+	// Busy are endpoints that gave this request back as busy. They are chosen
+	// again once nothing else is left, so that busy never reaches a caller.
+	Busy []string
 	// LowerTierOnly keeps to endpoints where a lower tier waits or runs.
 	LowerTierOnly bool
 }
@@ -47,17 +50,19 @@
 	Endpoint   *pb.Endpoint
 	Candidates []Score
 	Reason     string
+	// MayMove is true for a first attempt with other candidates, see
+	// flow.Request.
+	MayMove bool
 }
 
 // The reasons of a Decision.
 const (
-	ReasonOnly      = "only"       // one candidate was left
-	ReasonBetter    = "better"     // the better of two random ones
-	ReasonAffinity  = "affinity"   // it holds the prompt's prefix
-	ReasonSpill     = "spill"      // the own failure domain would be later
-	ReasonLowerTier = "lower-tier" // it can displace a lower tier
-	ReasonProbe     = "probe"      // ejected, and due for a trial
-	ReasonEjected   = "ejected"    // every candidate is ejected
+	ReasonOnly     = "only"     // one candidate was left
+	ReasonBetter   = "better"   // the best of a few random ones
+	ReasonAffinity = "affinity" // it holds the prompt's prefix
+	ReasonSpill    = "spill"    // the own failure domain would be later
+	ReasonBusy     = "busy"     // back to the one that gave it back
+	ReasonEjected  = "ejected"  // every candidate is ejected
 )
 
 // NoEndpointError says why no endpoint is left.
@@ -94,9 +99,12 @@
 	FailureDomain string
 	// DomainCost is what a request loses by leaving the failure domain.
 	DomainCost time.Duration
-	// SpillWait is the expected wait in the own failure domain from which
-	// the others are considered.
-	SpillWait time.Duration
+	// SpillCost is the cost in the own failure domain from which the others
+	// are considered.
+	SpillCost time.Duration
+	// Choices is how many random candidates are scored in each of the own
+	// and the other failure domains.
+	Choices int
 	// FailuresToEject is how many failures in a row eject an endpoint.
 	FailuresToEject int
 	// EjectFor is the first ejection; each further one doubles it up to
@@ -104,7 +112,9 @@
 	EjectFor, MaxEjectFor time.Duration
 	// MaxEjectedPercent bounds the ejected endpoints of one group.
 	MaxEjectedPercent int
-	// BlockTime is the time to first token that one cached block saves.
+	// BlockTime is the advantage of one cached block in the score. It is more
+	// than the time that the block saves to this request, because the engine's
+	// other requests gain as well.
 	BlockTime time.Duration
 	// MaxPrefixes bounds the affinity index, in blocks; negative turns it off.
 	MaxPrefixes int
@@ -113,18 +123,20 @@
 // Defaults of Config.
 const (
 	defaultDomainCost      = 10 * time.Millisecond
-	defaultSpillWait       = 20 * time.Millisecond
+	defaultSpillCost       = 50 * time.Millisecond
+	defaultChoices         = 2
 	defaultFailuresToEject = 3
 	defaultEjectFor        = time.Second
 	defaultMaxEjectFor     = time.Minute
 	defaultMaxEjected      = 50
-	defaultBlockTime       = 2 * time.Millisecond
+	defaultBlockTime       = 100 * time.Millisecond
 	defaultMaxPrefixes     = 1 << 16
 )
 
 func (c Config) withDefaults() Config {
 	c.DomainCost = orDefault(c.DomainCost, defaultDomainCost)
-	c.SpillWait = orDefault(c.SpillWait, defaultSpillWait)
+	c.SpillCost = orDefault(c.SpillCost, defaultSpillCost)
+	c.Choices = orDefault(c.Choices, defaultChoices)
 	c.FailuresToEject = orDefault(c.FailuresToEject, defaultFailuresToEject)
 	c.EjectFor = orDefault(c.EjectFor, defaultEjectFor)
 	c.MaxEjectFor = orDefault(c.MaxEjectFor, defaultMaxEjectFor)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -36,15 +36,20 @@
 	config    Config
 	endpoints map[string]*endpoint
 	pools     map[target][]pool
+	classes   map[string]ticket.Class
 	budget    *Budget
+	affinity  *affinity
+	choices   uint64
 	fit       []*endpoint // scratch of Choose
 	scores    []Score     // scratch of Choose
 }
 
 // New returns a table without endpoints.
 func New(config Config) *Table {
+	config = config.withDefaults()
 	return &Table{
-		config:    config.withDefaults(),
+		config:    config,
+		affinity:  newAffinity(config.MaxPrefixes),
 		endpoints: map[string]*endpoint{},
 		pools:     map[target][]pool{},
 		budget:    NewBudget(BudgetConfig{}),
@@ -63,6 +68,7 @@
 	if state == nil {
 		return
 	}
+	t.classes = state.Classes
 	groups := map[string]*group{}
 	for _, described := range endpoints {
 		e := before[described.GetName()]
