--- a/internal/ticket/examples_test.go
+++ b/internal/ticket/examples_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -64,3 +65,42 @@
 		Expect(book.State()).To(BeIdenticalTo(before))
 	})
 })
+
+// pageTickets returns the tickets that docs/TICKETS.md shows, in order.
+func pageTickets() []string {
+	GinkgoHelper()
+	page, err := os.ReadFile("../../docs/TICKETS.md")
+	Expect(err).NotTo(HaveOccurred())
+	hashes := strings.NewReplacer("<the hash in force>", strings.Repeat("a", 64), "<the new hash>", strings.Repeat("b", 64))
+	var tickets []string
+	open := false
+	for line := range strings.Lines(string(page)) {
+		text, indented := strings.CutPrefix(line, "    ")
+		switch {
+		case strings.HasPrefix(text, "number = ") && indented:
+			open, tickets = true, append(tickets, text)
+		case open && (indented || line == "\n"):
+			tickets[len(tickets)-1] += hashes.Replace(text)
+		default:
+			open = false
+		}
+	}
+	return tickets
+}
+
+var _ = It("accepts the tickets of docs/TICKETS.md one after the other", func() {
+	book := ticket.NewBook()
+	book.Submit(example("rally/ticket-001.toml"), 1)
+	texts := pageTickets()
+	Expect(texts).To(HaveLen(2))
+	for _, text := range texts {
+		t, err := ticket.DecodeTOML([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		t.Author = "rally-desk"
+		verdict := book.Submit(mustEncode(GinkgoT(), t), 2)
+		Expect(verdict.Faults).To(BeEmpty())
+		Expect(verdict.Kind).To(Equal(pb.Verdict_VERDICT_ACCEPTED))
+	}
+	Expect(book.State().Models).To(BeEmpty())
+	Expect(book.State().Workspaces["talca"].KeyHashes).To(HaveLen(2))
+})
