Sort names once a ticket and compare short lists in pairs

Cause: a ticket that changes one of 1,500 workspaces spent most of its time on sorting the names again for each rule and on a map for each workspace. Change: the names of a kind are sorted once a ticket; lists of up to 16 names are compared pair by pair; tables are made at their size.

--- a/internal/ticket/apply.go
+++ b/internal/ticket/apply.go
@@ -77,7 +77,21 @@
 
 // has reports whether the object is part of the configuration.
 func (s *State) has(kind Kind, name string) bool {
-	_, found := s.names(kind)[name]
+	found := false
+	switch kind {
+	case KindClass:
+		_, found = s.Classes[name]
+	case KindWorkspace:
+		_, found = s.Workspaces[name]
+	case KindModel:
+		_, found = s.Models[name]
+	case KindService:
+		_, found = s.Services[name]
+	case KindEndpointGroup:
+		_, found = s.EndpointGroups[name]
+	case KindLimit:
+		_, found = s.Limits[name]
+	}
 	return found
 }
 
--- a/internal/ticket/bench_test.go
+++ b/internal/ticket/bench_test.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// BenchmarkSubmitSmall decides a ticket that changes one of 1,500 workspaces.
+func BenchmarkSubmitSmall(b *testing.B) {
+	book := ticket.NewBook()
+	book.Submit(mustEncode(b, largeTicket(false)), 1)
+	number := uint64(1)
+	for b.Loop() {
+		number++
+		n := &ticket.Ticket{Number: number, Author: "desk",
+			Workspaces: []ticket.Workspace{largeWorkspace(7, 1+int(number%9), []string{"class-1"})}}
+		if v := book.Submit(mustEncode(b, n), 1); v.Kind != pb.Verdict_VERDICT_ACCEPTED {
+			b.Fatal(v)
+		}
+	}
+}
+
 // BenchmarkBookDays decides tickets that each change one of 1,500 workspaces
 // and reports what the book then holds.
 func BenchmarkBookDays(b *testing.B) {
@@ -125,3 +140,27 @@
 	}
 	b.ReportMetric(float64(len(image)), "snapshot-bytes")
 }
+
+// BenchmarkBookFull fills every bounded table of a book over a small
+// configuration.
+func BenchmarkBookFull(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		book := ticket.NewBook()
+		for i := range 40_000 {
+			n := &ticket.Ticket{Number: uint64(i + 1), Author: "desk", Summary: "change the limit of one workspace",
+				Limits: []ticket.Limit{{Name: "l", Concurrency: i + 1}}}
+			book.Submit(mustEncode(b, n), 1)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		image, err := book.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)), "heap-bytes")
+		b.ReportMetric(float64(len(image)), "snapshot-bytes")
+	}
+}
--- a/internal/ticket/check_reach.go
+++ b/internal/ticket/check_reach.go
@@ -9,7 +9,7 @@
 const allWorkspaces = "*"
 
 func (c *checker) checkGroups() {
-	for _, name := range sortedKeys(c.after.EndpointGroups) {
+	for _, name := range c.ordered(KindEndpointGroup) {
 		c.checkGroup(object(KindEndpointGroup, name), c.after.EndpointGroups[name])
 	}
 }
@@ -93,16 +93,16 @@
 // services that nobody reaches or whose class their callers lack.
 func (c *checker) checkReach() {
 	r := reachOf(c.after)
-	for _, name := range sortedKeys(c.after.Workspaces) {
+	for _, name := range c.ordered(KindWorkspace) {
 		if !r.all && !r.workspaces[name] {
 			c.add(object(KindWorkspace, name), "", "no endpoint group serves it",
 				"add it to the workspaces of an endpoint group")
 		}
 	}
-	for _, name := range sortedKeys(c.after.Models) {
+	for _, name := range c.ordered(KindModel) {
 		c.checkServed(object(KindModel, name), "models", r.models[name])
 	}
-	for _, name := range sortedKeys(c.after.Services) {
+	for _, name := range c.ordered(KindService) {
 		c.checkServed(object(KindService, name), "services", r.services[name])
 		c.checkServiceClass(name, r.services[name])
 	}
@@ -167,6 +167,9 @@
 }
 
 func (c *checker) checkStrandedTarget(kind Kind, name string, before, after *audience) {
+	if before == nil || after != nil && after.all {
+		return
+	}
 	var stranded []string
 	for workspace := range c.before.Workspaces {
 		_, stays := c.after.Workspaces[workspace]
--- a/internal/ticket/check_state.go
+++ b/internal/ticket/check_state.go
@@ -31,7 +31,7 @@
 
 func (c *checker) checkClasses() {
 	tiers := map[Tier]bool{}
-	for _, name := range sortedKeys(c.after.Classes) {
+	for _, name := range c.ordered(KindClass) {
 		class := c.after.Classes[name]
 		tiers[class.Tier] = true
 		c.checkClass(object(KindClass, name), class)
@@ -95,8 +95,8 @@
 }
 
 func (c *checker) checkWorkspaces() {
-	owners := map[string]string{}
-	for _, name := range sortedKeys(c.after.Workspaces) {
+	owners := make(map[string]string, len(c.after.Workspaces))
+	for _, name := range c.ordered(KindWorkspace) {
 		w := c.after.Workspaces[name]
 		c.checkWorkspace(object(KindWorkspace, name), w)
 		c.checkKeys(owners, w)
@@ -174,13 +174,13 @@
 }
 
 func (c *checker) checkModelsAndServices() {
-	for _, name := range sortedKeys(c.after.Models) {
+	for _, name := range c.ordered(KindModel) {
 		if n := c.after.Models[name].MaxOutputTokens; n < 1 || n > maxOutputTokens {
 			c.add(object(KindModel, name), "max_output_tokens", strconv.Itoa(n)+" is out of bounds",
 				"use 1 to "+strconv.Itoa(maxOutputTokens))
 		}
 	}
-	for _, name := range sortedKeys(c.after.Services) {
+	for _, name := range c.ordered(KindService) {
 		if class := c.after.Services[name].Class; class != "" {
 			c.reference(object(KindService, name), "class", KindClass, class)
 		}
@@ -188,7 +188,7 @@
 }
 
 func (c *checker) checkLimits() {
-	for _, name := range sortedKeys(c.after.Limits) {
+	for _, name := range c.ordered(KindLimit) {
 		l := c.after.Limits[name]
 		object := object(KindLimit, name)
 		c.checkLimit(object, "requests_per_second", l.RequestsPerSecond)
@@ -212,13 +212,32 @@
 }
 
 func (c *checker) checkRepeats(object, field string, names []string) {
-	seen := map[string]bool{}
-	for _, name := range names {
-		if seen[name] {
-			c.add(object, field, strconv.Quote(name)+" is listed twice", "keep it once")
+	for _, name := range repeats(names) {
+		c.add(object, field, strconv.Quote(name)+" is listed twice", "keep it once")
+	}
+}
+
+// shortList is how many names are compared pair by pair.
+const shortList = 16
+
+// repeats returns each name that is equal to an earlier one.
+func repeats(names []string) []string {
+	var again []string
+	if len(names) <= shortList {
+		for i, name := range names {
+			if slices.Contains(names[:i], name) {
+				again = append(again, name)
+			}
+		}
+		return again
+	}
+	sorted := slices.Sorted(slices.Values(names))
+	for i, name := range sorted[1:] {
+		if name == sorted[i] {
+			again = append(again, name)
 		}
-		seen[name] = true
 	}
+	return again
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/ticket/check_ticket.go
+++ b/internal/ticket/check_ticket.go
@@ -121,8 +121,8 @@
 // letter case.
 func (c *checker) checkNames() {
 	for _, kind := range kinds {
-		lower := map[string]string{}
-		for _, name := range slices.Sorted(maps.Keys(c.names(kind))) {
+		lower := make(map[string]string, len(c.names(kind)))
+		for _, name := range c.ordered(kind) {
 			if problem, remedy := nameProblem(kind, name); problem != "" {
 				c.add(object(kind, name), "name", problem, remedy)
 			}
--- a/internal/ticket/fault.go
+++ b/internal/ticket/fault.go
@@ -28,6 +28,7 @@
 	ticket *Ticket
 	faults []Fault
 	known  map[Kind]map[string]struct{}
+	order  map[Kind][]string
 	hints  int
 }
 
@@ -58,9 +59,20 @@
 	return c.known[kind]
 }
 
+// ordered returns the names of one kind after the ticket in their order.
+func (c *checker) ordered(kind Kind) []string {
+	if c.order == nil {
+		c.order = map[Kind][]string{}
+	}
+	if _, found := c.order[kind]; !found {
+		c.order[kind] = sortedKeys(c.names(kind))
+	}
+	return c.order[kind]
+}
+
 // reference adds a fault if an object names another that will not exist.
 func (c *checker) reference(object, field string, kind Kind, name string) {
-	if _, found := c.names(kind)[name]; found {
+	if c.after.has(kind, name) {
 		return
 	}
 	label := kind.label()
