--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -15,6 +15,7 @@
 var comparePolicies = flag.Bool("policies", false, "print the comparison of policies in the model")
 
 var onlyPolicy = flag.String("only", "", "part of the name of the policies to print")
+var policySeed = flag.Uint64("seed", 1, "seed of the printed runs")
 var onlyScenario = flag.String("scenario", "", "part of the name of the scenarios to print")
 
 // mix is the classes of the rally desk; the rates are for twelve engines.
@@ -83,24 +84,21 @@
 	}
 	return []policy{
 		baseline(), full(),
-		with("affinity-none", func(p *policy) { p.routing.MaxPrefixes = -1 }),
-		with("affinity-10ms", func(p *policy) { p.routing.BlockTime = 10 * time.Millisecond }),
-		with("affinity-30ms", func(p *policy) { p.routing.BlockTime = 30 * time.Millisecond }),
-		with("affinity-100ms", func(p *policy) { p.routing.BlockTime = 100 * time.Millisecond }),
-		with("affinity-300ms", func(p *policy) { p.routing.BlockTime = 300 * time.Millisecond }),
-		with("affinity-noevents", func(p *policy) { p.routing.BlockTime, p.noEvents = 100*time.Millisecond, true }),
+		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
 		with("rigid", func(p *policy) { p.rigid = true }),
-		with("headroom-100", func(p *policy) { p.flow.HeadroomPercent = 100 }),
 		with("no-headroom", func(p *policy) { p.flow.HeadroomPercent = -1 }),
-		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
+		with("no-move", func(p *policy) { p.move = false }),
+		with("no-aged", func(p *policy) { p.flow.AgedOneIn = -1 }),
+		with("aged-1-in-5", func(p *policy) { p.flow.AgedOneIn = 5 }),
 		with("fixed-16", func(p *policy) { p.flow = flow.Config{Slots: 16} }),
 		with("fixed-32", func(p *policy) { p.flow = flow.Config{Slots: 32} }),
-		with("no-move", func(p *policy) { p.move = false }),
+		with("fixed-48", func(p *policy) { p.flow = flow.Config{Slots: 48} }),
+		with("choices-1", func(p *policy) { p.routing.Choices = 1 }),
 		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
-		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
 		with("least-cost", func(p *policy) { p.routing.Choices = 1000 }),
-		with("spill-20", func(p *policy) { p.routing.SpillCost = 20 * time.Millisecond }),
-		with("spill-200", func(p *policy) { p.routing.SpillCost = 200 * time.Millisecond }),
+		with("one-domain", func(p *policy) { p.routing.SpillCost = time.Hour }),
+		with("no-affinity", func(p *policy) { p.routing.MaxPrefixes = -1 }),
+		with("no-events", func(p *policy) { p.noEvents = true }),
 	}
 }
 
@@ -142,7 +140,7 @@
 			if !strings.Contains(p.name, *onlyPolicy) {
 				continue
 			}
-			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, 1).run().summary())
+			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, *policySeed).run().summary())
 		}
 	}
 }
