Keep the queue out of engines with few slots

Cause: with eight slots in an engine the limit stayed at 20 and more, because the bound by first tokens had a floor from the step model and could even rise to it; and first tokens later than the target made every request late on arrival, so the oldest went first and all missed. Change: requests without a first token are counted against those with one and lower the limit to the latter; the bound never rises when first tokens are late; at most half of the target is kept for the first token.

--- a/internal/flow/limiter.go
+++ b/internal/flow/limiter.go
@@ -20,6 +20,10 @@
 	minSlope     = 0.002
 	maxSlope     = 1.0
 	minVariance  = 4.0 // of the running requests, to learn the slope from them
+	pendingPart  = 4.0 // of the requests with tokens may wait for their first one
+	minPending   = 2.0 // so many may always, unless first tokens are late
+	latePending  = 0.5 // may wait while first tokens are late
+	pendingShare = 4.0 // one window moves the smoothed figures by 1 in so many
 	kneeRise     = 1.0 // never fewer slots than double the time of an empty engine
 )
 
@@ -37,7 +41,12 @@
 	window   window
 	model    stepModel
 	ceiling  float64
-	unloaded float64 // least latency of a plain service, ns
+	active   float64 // smoothed requests that get tokens
+	pending  float64 // smoothed requests that wait for their first
+	// lateFirst says that first tokens took longer than their part of the
+	// target when any came last.
+	lateFirst bool
+	unloaded  float64 // least latency of a plain service, ns
 }
 
 // classTargets are the targets of a class that was present lately.
@@ -50,6 +59,7 @@
 type window struct {
 	began           time.Time
 	tokens, running float64
+	active          float64
 	between         float64 // ns, over tokens
 	firsts, ratio   float64 // latencies over their bound
 	full            bool    // the limit was reached
@@ -92,13 +102,14 @@
 }
 
 // token takes a time between tokens.
-func (l *limiter) token(now time.Time, between time.Duration, running int) {
+func (l *limiter) token(now time.Time, between time.Duration, running, active int) {
 	if !l.adaptive {
 		return
 	}
 	l.window.tokens++
 	l.window.between += float64(between)
 	l.window.running += float64(running)
+	l.window.active += float64(active)
 	l.adjust(now, running)
 }
 
@@ -131,6 +142,7 @@
 		return
 	}
 	l.moveCeiling(running)
+	l.lowerToActive()
 	limit := l.ceiling
 	if l.window.tokens > 0 {
 		l.model.observe(l.window.running/l.window.tokens, l.window.between/l.window.tokens)
@@ -147,15 +159,35 @@
 	ratio := 0.0
 	if l.window.firsts > 0 {
 		ratio = l.window.ratio / l.window.firsts
+		l.lateFirst = ratio > 1
 	}
 	switch {
 	case ratio > 1:
-		l.ceiling = math.Max(decrease*math.Min(l.ceiling, float64(max(running, l.limit))), l.floor())
-	case ratio < growBelow && l.window.full && l.ceiling <= float64(l.limit)+1:
+		lower := math.Max(decrease*math.Min(l.ceiling, float64(max(running, l.limit))), l.floor())
+		l.ceiling = math.Min(l.ceiling, lower)
+	case ratio < growBelow && l.window.full && l.pending <= l.mayPend()/2 && l.ceiling <= float64(l.limit)+1:
 		l.ceiling = math.Min(l.ceiling+1, float64(l.max))
 	}
 }
 
+// lowerToActive keeps the queue out of the engine: where many requests wait
+// there for their first token while others get theirs, it has fewer slots than
+// the limit, about as many as get tokens.
+func (l *limiter) lowerToActive() {
+	if l.window.tokens == 0 {
+		return
+	}
+	active := l.window.active / l.window.tokens
+	l.active += (active - l.active) / pendingShare
+	l.pending += (l.window.running/l.window.tokens - active - l.pending) / pendingShare
+	if l.pending > l.mayPend() || l.lateFirst && l.pending > latePending {
+		l.ceiling = math.Max(math.Min(l.ceiling, math.Ceil(l.active)), float64(l.min))
+	}
+}
+
+// mayPend is how many requests may wait in the engine for their first token.
+func (l *limiter) mayPend() float64 { return math.Max(minPending, l.active/pendingPart) }
+
 // floor is the limit below which latency hardly falls any further.
 func (l *limiter) floor() float64 {
 	if l.model.base > 0 {
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -38,8 +38,7 @@
 	if it == nil {
 		return false
 	}
-	delete(q.running, it.ID)
-	q.tiers[it.Tier].running--
+	q.stopped(it)
 	it.preemptions++
 	q.do(Preempt{ID: it.ID})
 	if next := q.strict(now, tier); next != nil {
--- a/internal/flow/queue.go
+++ b/internal/flow/queue.go
@@ -12,6 +12,7 @@
 	tiers        [lowestTier + 1]*tier // index 0 is unused
 	waiting      map[string]*item
 	running      map[string]*item
+	active       int // running requests that have had their first token
 	waitingBytes int
 	classes      map[string]*classEstimate
 	service      mean
@@ -70,6 +71,7 @@
 		return q.actions
 	}
 	it.tokenAt = now
+	q.active++
 	took := now.Sub(it.startedAt)
 	q.firstToken.add(took)
 	q.class(it.Class).firstToken.add(took)
@@ -88,7 +90,7 @@
 	between := now.Sub(it.tokenAt) / time.Duration(n)
 	it.tokenAt = now
 	q.between.add(between)
-	q.limit.token(now, between, len(q.running))
+	q.limit.token(now, between, len(q.running), q.active)
 	q.settle(now)
 	return q.actions
 }
@@ -100,8 +102,7 @@
 	if it == nil {
 		return q.actions
 	}
-	delete(q.running, id)
-	q.tiers[it.Tier].running--
+	q.stopped(it)
 	if outcome == Whole {
 		took := now.Sub(it.startedAt)
 		q.service.add(took)
@@ -212,6 +213,15 @@
 	q.tiers[it.Tier].add(now, it, q.expectedFirstToken(it.Class))
 }
 
+// stopped takes a request out of those that run.
+func (q *Queue) stopped(it *item) {
+	delete(q.running, it.ID)
+	q.tiers[it.Tier].running--
+	if !it.tokenAt.IsZero() {
+		q.active--
+	}
+}
+
 func (q *Queue) dequeue(it *item) {
 	q.tiers[it.Tier].remove(it)
 	q.forget(it)
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -5,6 +5,10 @@
 // movePart of the time to its target is what a request that may move waits.
 const movePart = 2
 
+// marginPart bounds the time kept for the first token to a part of the target,
+// so that a slow endpoint does not make everything late on arrival.
+const marginPart = 2
+
 // tier holds the waiting requests of one tier.
 type tier struct {
 	onTime, late *fair
@@ -40,7 +44,7 @@
 		t.onTime.add(it)
 		return
 	}
-	slack := it.FirstTokenTarget - firstToken
+	slack := it.FirstTokenTarget - min(firstToken, it.FirstTokenTarget/marginPart)
 	if it.MayMove {
 		slack /= movePart
 	}
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -48,6 +48,7 @@
 	length     time.Duration
 	lag        time.Duration // of the load digest
 	classes    []class
+	batch      int // sequences that an engine steps together, 0 for engineBatch
 	hotPercent int // of the prompts that share the first prefix
 	prefixes   int // distinct prompt prefixes, 0 for none
 	// trouble changes engines in the course of the run.
@@ -434,7 +435,7 @@
 
 func (w *world) step(e *engineModel) {
 	took := stepBase
-	for len(e.joining) > 0 && len(e.running) < engineBatch {
+	for len(e.joining) > 0 && len(e.running) < w.batch() {
 		j := e.joining[0]
 		e.joining = e.joining[1:]
 		e.running = append(e.running, j)
@@ -448,6 +449,13 @@
 	w.in(time.Duration(float64(took)*e.factor), func() { w.stepped(e) })
 }
 
+func (w *world) batch() int {
+	if w.scenario.batch > 0 {
+		return w.scenario.batch
+	}
+	return engineBatch
+}
+
 // prefill is the time to read a prompt, and keeps its prefix.
 func (w *world) prefill(e *engineModel, prefix uint64) time.Duration {
 	if prefix == 0 {
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -61,7 +61,10 @@
 	one.name = "hot-prefix"
 	one.classes = mix(1.6)
 	one.hotPercent = 70
-	return []scenario{steady, low, top, fault, hot, one}
+	few := base("few-slots")
+	few.batch = 8
+	few.classes = burst(mix(0.6), "stage", 60, 10*time.Second, 30*time.Second)
+	return []scenario{steady, low, top, fault, hot, one, few}
 }
 
 func baseline() policy {
