--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,7 @@
 	onFull   atomic.Pointer[func()]
 	tokens   atomic.Uint64 // engine tokens relayed
 	wasted   atomic.Uint64 // engine tokens that had no receiver
+	preempts atomic.Uint64
 }
 
 // New returns an agent without an incarnation: it refuses every request until
@@ -129,6 +130,12 @@
 // Tokens returns the engine tokens relayed and those without a receiver.
 func (a *Agent) Tokens() (relayed, wasted uint64) { return a.tokens.Load(), a.wasted.Load() }
 
+// Preempted returns the number of preemptions since the start.
+func (a *Agent) Preempted() uint64 { return a.preempts.Load() }
+
+// Name is the endpoint's name.
+func (a *Agent) Name() string { return a.options.Endpoint.GetName() }
+
 // Stop drains and waits until no request is in flight or ctx ends.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.SetDraining(true)
@@ -153,6 +160,7 @@
 	case flow.Refuse:
 		a.logger.Info("refuse", "request", v.ID, "reason", v.Reason, "retry_after", v.RetryAfter)
 	case flow.Preempt:
+		a.preempts.Add(1)
 		a.logger.Info("preempt", "request", v.ID)
 	}
 }
--- a/internal/daemon/administration.go
+++ b/internal/daemon/administration.go
@@ -30,11 +30,12 @@
 	})
 }
 
-// administrationHandler serves /healthz, which says that the process runs, and
-// /readyz, which says that it can take work.
+// administrationHandler serves /healthz, which says that the process runs,
+// /readyz, which says that it can take work, and /metrics.
 func (d *Daemon) administrationHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { d.writeHealth(w, http.StatusOK) })
+	mux.HandleFunc("GET /metrics", d.serveMetrics)
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		status := http.StatusOK
 		if !d.Ready() {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -21,6 +21,7 @@
 	url      string
 	listener net.Listener
 	replica  *replica.Replica
+	machine  *state.Machine
 	server   *control.Server
 }
 
@@ -61,6 +62,7 @@
 		return
 	}
 	role.replica = log
+	role.machine = machine
 	role.server = control.New(control.Options{Machine: machine, Log: log, Logger: d.logger, HTTP: d.rpcClient(), Auth: d.auth()})
 	d.tree.Add("control", role.run)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/trefoilkeel/trefoilkeel/internal/flow"
 	"github.com/trefoilkeel/trefoilkeel/internal/follow"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
 	"github.com/trefoilkeel/trefoilkeel/internal/supervise"
 )
@@ -72,6 +73,7 @@
 	logger   *slog.Logger
 	tree     *supervise.Tree
 	problems []error
+	metrics  *metrics.Registry
 	client   *follow.Client // nil without a router or agent
 	control  *controlRole   // nil without the role
 	router   *routerRole    // nil without the role
@@ -84,7 +86,7 @@
 // a *StartError with every problem.
 func New(options Options) (*Daemon, error) {
 	s := options.Settings
-	d := &Daemon{options: options, settings: s, tree: supervise.New(options.Logger)}
+	d := &Daemon{options: options, settings: s, tree: supervise.New(options.Logger), metrics: metrics.New()}
 	d.logger = options.Logger.With("process", s.Process.Name)
 	d.addAdministration()
 	d.addControl()
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -50,6 +50,7 @@
 		Routing: routing.Config{FailureDomain: d.settings.Process.FailureDomain},
 		Agents:  d.agentClient(),
 		MaxBody: s.MaxBody,
+		Metrics: d.metrics,
 		Logger:  d.logger,
 	})
 	d.router = role
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -123,7 +124,8 @@
 		return nil, err
 	}
 	request.ContentLength = int64(len(call.Body))
-	request.Header = call.Header.Clone()
+	request.Header = http.Header{}
+	maps.Copy(request.Header, call.Header.Clone())
 	request.Header.Set(HeaderRequestID, call.ID)
 	return request, nil
 }
--- /dev/null
+++ b/internal/engine/seed_test.go
@@ -0,0 +1,5 @@
+package engine_test
+
+import "flag"
+
+func init() { _ = flag.Set("rapid.seed", "20261203") }
--- a/internal/router/ordinary.go
+++ b/internal/router/ordinary.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
 )
 
@@ -157,7 +158,7 @@
 func (j *journey) retry(t *attempt, refused *dispatch.Refusal) bool {
 	j.refused = refused
 	if j.router.picker.takeRetry(j.query.class.Name) {
-		j.router.counts.retried.Add(1)
+		j.router.options.Metrics.Add(metrics.Retries, 1)
 		j.router.logger.Info("retry", "request", j.query.id, "class", j.query.class.Name, "after", t.choice.endpoint.GetName())
 		return true
 	}
@@ -236,7 +237,7 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerStall))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
-	rt.counts.answered.Add(1)
+	rt.finished(q, time.Now(), 0)
 	rt.logger.Info("answered", "request", q.id, "workspace", q.workspace.Name, "class", q.class.Name, "status", status,
 		"bytes", len(body), "after_ms", time.Since(q.received).Milliseconds())
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
@@ -32,6 +33,8 @@
 	Agents *http.Client
 	// MaxBody bounds a caller's body, in bytes.
 	MaxBody int64
+	// Metrics takes the figures; nil for a registry of its own.
+	Metrics *metrics.Registry
 	Logger  *slog.Logger
 }
 
@@ -44,11 +47,13 @@
 	stopping atomic.Bool
 	requests *requestIDs
 	gate     *gate
-	counts   counts
 }
 
 // New returns a router. It serves once the source has a configuration.
 func New(options Options) *Router {
+	if options.Metrics == nil {
+		options.Metrics = metrics.New()
+	}
 	rt := &Router{options: options, logger: options.Logger, gate: newGate()}
 	rt.picker = newPicker(options.Routing, options.Source)
 	rt.requests = newRequestIDs(options.Name)
@@ -114,6 +119,7 @@
 
 // serve runs a classified request to its end.
 func (rt *Router) serve(w http.ResponseWriter, r *http.Request, q *query) {
+	rt.offered(q)
 	if refused := rt.gate.enter(q); refused != nil {
 		rt.refuse(w, q, refused)
 		return
@@ -132,8 +138,8 @@
 	if q != nil {
 		attrs = append(attrs, "request", q.id, "workspace", q.workspace.Name, "class", q.class.Name, "after_ms", time.Since(q.received).Milliseconds())
 		w.Header().Set("X-Request-Id", q.id)
-		rt.counts.refused.Add(1)
 	}
+	rt.counted(refused)
 	rt.logger.Info("refused", attrs...)
 	refused.Write(w)
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
 )
 
@@ -38,7 +39,7 @@
 		j.streamHead(response)
 	} else {
 		j.stream.resumed()
-		j.router.counts.resumed.Add(1)
+		j.router.options.Metrics.Add(metrics.StreamsResumed, 1)
 		j.router.logger.Info("resume", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(), "events", j.stream.events)
 	}
 	err := j.copyEvents(response.Body)
@@ -125,7 +126,11 @@
 	if len(events) == 0 {
 		return nil
 	}
-	_ = control.SetWriteDeadline(time.Now().Add(callerStall))
+	now := time.Now()
+	if j.stream.first.IsZero() {
+		j.stream.first = now
+	}
+	_ = control.SetWriteDeadline(now.Add(callerStall))
 	if _, err := j.writer.Write(events); err != nil {
 		return &callerGoneError{cause: err}
 	}
@@ -150,7 +155,7 @@
 func (j *journey) streamDone() {
 	_, err := io.WriteString(j.writer, endMark)
 	j.router.picker.succeeded(j.query.class.Name)
-	j.router.counts.answered.Add(1)
+	j.router.finished(j.query, j.stream.first, j.stream.events)
 	j.router.logger.Info("answered", "request", j.query.id, "workspace", j.query.workspace.Name, "class", j.query.class.Name,
 		"status", http.StatusOK, "events", j.stream.events, "delivered", err == nil, "after_ms", time.Since(j.query.received).Milliseconds())
 }
@@ -177,7 +182,7 @@
 // breakStream ends a stream so that nobody can take it for whole: an error
 // event, then an aborted connection. It does not return.
 func (rt *Router) breakStream(w http.ResponseWriter, q *query, refused *dispatch.Refusal) {
-	rt.counts.broken.Add(1)
+	rt.options.Metrics.Add(metrics.StreamsBroken, 1)
 	rt.logger.Warn("stream broken off", "request", q.id, "workspace", q.workspace.Name, "class", q.class.Name, "type", refused.Type, "message", refused.Message)
 	_, _ = w.Write(append(append([]byte("data: "), refused.Body()...), eventEnd...))
 	_ = http.NewResponseController(w).Flush()
--- a/internal/router/transcript.go
+++ b/internal/router/transcript.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/engine"
 )
@@ -16,9 +17,10 @@
 	sent   []byte // whole events, without the end mark
 	over   bool   // sent is incomplete: the bound was passed
 	events int
-	done   bool   // the end mark came
-	id     []byte // identity field of the first stream
-	newID  []byte // identity field of the resumed stream, nil if none
+	first  time.Time // when the first event was passed on
+	done   bool      // the end mark came
+	id     []byte    // identity field of the first stream
+	newID  []byte    // identity field of the resumed stream, nil if none
 	resume bool
 }
 
