Bound the log and write the operators' pages

Cause: a burst could fill a disk with routing lines; an operator had no page to deploy, read logs or act by. Change: internal/logging bounds each kind of line to 200 a second after 1,000 and counts what it leaves out; docs/GETTING-STARTED.md, docs/LOGS.md, docs/RUNBOOKS.md; settings of a three-host deployment under examples/rally/.

--- a/cmd/trefoilkeeld/main.go
+++ b/cmd/trefoilkeeld/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
+	"github.com/trefoilkeel/trefoilkeel/internal/logging"
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
 )
 
@@ -82,7 +83,7 @@
 	if l.UnmarshalText([]byte(level)) != nil {
 		l = slog.LevelInfo
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+	logger := logging.New(os.Stderr, l)
 	log.SetFlags(0)
 	log.SetOutput(daemon.ShortWriter{Logger: logger})
 	return logger
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -38,11 +38,11 @@
 
 // Score is the estimate for one endpoint that was considered.
 type Score struct {
-	Endpoint string
-	Wait     time.Duration // expected time in the agent's queue
-	Cost     time.Duration // everything that the request would lose there
-	Blocks   int           // leading blocks of the prompt expected in its cache
-	Own      bool          // in the router's failure domain
+	Endpoint string        `json:"endpoint"`
+	Wait     time.Duration `json:"wait_ns"`    // expected time in the agent's queue
+	Cost     time.Duration `json:"cost_ns"`    // everything that the request would lose there
+	Blocks   int           `json:"blocks"`     // leading blocks of the prompt expected in its cache
+	Own      bool          `json:"own_domain"` // in the router's failure domain
 }
 
 // Decision is the endpoint chosen. Candidates is valid until the next Choose.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -85,6 +86,16 @@
 		Entry("a certificate without its key, missing", process+agentText+directory+"[tls]\ncertificate = \"/nonexistent\"\n", "tls", "tls.certificate"),
 	)
 
+	It("of the examples are good", func() {
+		files, err := filepath.Glob("../../examples/*/settings/*.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		for _, file := range files {
+			_, err := settings.Load(file)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("that can't be read are refused", func() {
 		_, err := settings.Load("/nonexistent.toml")
 		Expect(err).To(MatchError(ContainSubstring("nonexistent")))
