--- a/internal/consensus/suite_test.go
+++ b/internal/consensus/suite_test.go
@@ -39,7 +39,7 @@
 }
 
 // crash takes a host down without its unsynced writes.
-func (w *network) crash(h *testHost) { h.up, h.pending = false, nil }
+func (w *network) crash(h *testHost) { h.up, h.pending, h.stalled = false, nil, false }
 
 var _ = ginkgo.Describe("a leader that is cut off", func() {
 	ginkgo.DescribeTable("acknowledges nothing, loses its lease in time and steps down on return",
@@ -188,6 +188,28 @@
 		Expect(slow.stored.Snapshot.Index).To(Equal(leader.stored.Snapshot.Index))
 	})
 
+	ginkgo.DescribeTable("commits only what a quorum has synced", func(stallLeader bool) {
+		w, leader := formed()
+		follower, third := w.others(leader)
+		w.separate(third, true)
+		stalled := follower
+		if stallLeader {
+			stalled = leader
+		}
+		w.run(time.Second)
+		commit := leader.node.View().Commit
+		stalled.stalled = true
+		Expect(w.propose(leader, "not synced")).To(Succeed())
+		w.run(testHeartbeat)
+		Expect(leader.node.View().Commit).To(Equal(commit))
+		stalled.stalled = false
+		w.run(testHeartbeat)
+		Expect(leader.node.View().Commit).To(Equal(commit + 1))
+	},
+		ginkgo.Entry("when the follower's disk stalls", false),
+		ginkgo.Entry("when the leader's disk stalls", true),
+	)
+
 	ginkgo.It("refuses commands beyond the bound of those that wait for a quorum", func() {
 		w, leader := formed()
 		w.separate(leader, true)
@@ -210,3 +232,50 @@
 			Entries: []Entry{{Index: 4, Term: 1}}}, uint64(4)),
 	)
 })
+
+var _ = ginkgo.Describe("what must not come too early", func() {
+	ginkgo.It("sends a vote only after it is synced, and gives one a term", func() {
+		w, leader := formed()
+		voter, candidate := w.others(leader)
+		w.crash(leader)
+		w.advance(3 * time.Second)
+		ask := Message{Type: MsgVote, From: candidate.id, To: voter.id, Disk: candidate.disk, ToDisk: voter.disk,
+			Formation: voter.node.hard.Formation, Term: voter.node.hard.Term + 9, Index: 1 << 20, LogTerm: 1 << 20}
+		w.sync(voter)
+		voter.node.TakeMessages()
+		voter.node.Step(w.clock(voter), ask)
+		Expect(voter.node.TakeMessages()).To(BeEmpty())
+		save := voter.node.TakeSave()
+		Expect(save.Hard.Vote).To(Equal(candidate.disk))
+		Expect(save.After).To(HaveLen(1))
+		Expect(save.After[0].Reject).To(BeFalse())
+		ask.From, ask.Disk = leader.id, leader.disk
+		voter.node.Step(w.clock(voter), ask)
+		Expect(voter.node.TakeSave().After[0].Reject).To(BeTrue())
+	})
+
+	ginkgo.It("votes for no one right after a restart, when a lease may rest on it", func() {
+		w, leader := formed()
+		voter, candidate := w.others(leader)
+		w.crash(voter)
+		w.start(voter)
+		ask := Message{Type: MsgVote, From: candidate.id, To: voter.id, Disk: candidate.disk, ToDisk: voter.disk,
+			Formation: voter.node.hard.Formation, Term: voter.node.hard.Term + 1, Index: 1 << 20, LogTerm: 1 << 20}
+		voter.node.Step(0, ask)
+		Expect(voter.node.TakeSave()).To(BeNil())
+		voter.node.Step(DefaultElectionTimeout, ask)
+		Expect(voter.node.TakeSave().Hard.Vote).To(Equal(candidate.disk))
+	})
+
+	ginkgo.It("changes one host at a time", func() {
+		w, leader := formed()
+		_, _, err := leader.node.ChangeMember(w.clock(leader), Member{ID: 4}, false)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = leader.node.ChangeMember(w.clock(leader), Member{ID: 5}, false)
+		Expect(err).To(BeAssignableToTypeOf(&BusyError{}))
+		w.pump(leader)
+		w.run(time.Second)
+		_, _, err = leader.node.ChangeMember(w.clock(leader), Member{ID: 5}, false)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -75,6 +75,8 @@
 func (s *stepper) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	s.node.Tick(s.now())
+	s.flush(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -129,7 +131,6 @@
 	s.sendAll(ctx, s.node.TakeMessages())
 	s.startWrite(ctx)
 	s.startApply(ctx)
-	s.publish()
 }
 
 // startWrite gives the journal its next job. What needs no write goes on.
