Keep keys out of the log and name the next free number

Cause: a ticket with a key in place of its hash was refused only after its bytes were in the replicated log, and show proposed a number that might be used up. Change: such a ticket is answered before the log with all its faults; show, check and refusals carry the next free number; a table on client certificates.

--- a/cmd/trefoilkeel/ticket.go
+++ b/cmd/trefoilkeel/ticket.go
@@ -79,7 +79,7 @@
 	}
 	text := name + " refused as a whole" + again + ", faults: " + strconv.Itoa(len(v.GetFaults())) + "\n" + faultLines(v.GetFaults())
 	if v.GetNextNumber() > 0 {
-		text += "correct the file and give it a new number: " + free
+		text += "correct the file; " + free
 	}
 	return text
 }
@@ -158,6 +158,7 @@
 		return err
 	}
 	t := state.AsTicket(c.Prefix)
+	t.Number = answer.GetNextNumber()
 	encode := ticket.EncodeTOML
 	if c.JSON {
 		encode = ticket.Encode
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -79,18 +79,34 @@
 
 // SubmitTicket decides a ticket under the name of the caller.
 func (s *service) SubmitTicket(ctx context.Context, req *connect.Request[pb.SubmitTicketRequest]) (*connect.Response[pb.SubmitTicketResponse], error) {
-	encoded, faults := sign(req.Msg.GetTicket(), callerOf(ctx))
+	t, encoded, faults := sign(req.Msg.GetTicket(), callerOf(ctx))
 	if len(faults) > 0 {
-		return connect.NewResponse(&pb.SubmitTicketResponse{
-			Verdict: pb.Verdict_VERDICT_REFUSED,
-			Faults:  faultMessages(faults),
-		}), nil
+		return submitAnswer(s.refused(faults)), nil
+	}
+	if t.MayExposeKey() {
+		// Never accepted, and answered here so that no key enters the log.
+		return submitAnswer(s.backend.Book().Check(encoded).Verdict), nil
 	}
 	v, err := s.backend.SubmitTicket(ctx, encoded)
 	if err != nil {
 		return nil, coded(err)
 	}
 	noteVerdict(ctx, v)
+	return submitAnswer(v), nil
+}
+
+// refused is the verdict on a ticket that does not reach the log.
+func (s *service) refused(faults []ticket.Fault) ticket.Verdict {
+	book := s.backend.Book()
+	return ticket.Verdict{
+		Kind:       pb.Verdict_VERDICT_REFUSED,
+		Faults:     faults,
+		LastNumber: book.State().LastNumber,
+		NextNumber: book.NextNumber(),
+	}
+}
+
+func submitAnswer(v ticket.Verdict) *connect.Response[pb.SubmitTicketResponse] {
 	return connect.NewResponse(&pb.SubmitTicketResponse{
 		Verdict:    v.Kind,
 		Revision:   v.Revision,
@@ -98,19 +114,16 @@
 		Repeated:   v.Repeated,
 		LastNumber: v.LastNumber,
 		NextNumber: v.NextNumber,
-	}), nil
+	})
 }
 
 // CheckTicket is a dry run on the newest configuration of this host.
 func (s *service) CheckTicket(ctx context.Context, req *connect.Request[pb.CheckTicketRequest]) (*connect.Response[pb.CheckTicketResponse], error) {
-	encoded, faults := sign(req.Msg.GetTicket(), callerOf(ctx))
-	if len(faults) > 0 {
-		return connect.NewResponse(&pb.CheckTicketResponse{
-			Verdict: pb.Verdict_VERDICT_REFUSED,
-			Faults:  faultMessages(faults),
-		}), nil
+	_, encoded, faults := sign(req.Msg.GetTicket(), callerOf(ctx))
+	r := ticket.CheckResult{Verdict: s.refused(faults)}
+	if len(faults) == 0 {
+		r = s.backend.Book().Check(encoded)
 	}
-	r := s.backend.Book().Check(encoded)
 	return connect.NewResponse(&pb.CheckTicketResponse{
 		Verdict:    r.Verdict.Kind,
 		Faults:     faultMessages(r.Verdict.Faults),
@@ -123,12 +136,17 @@
 
 // ShowState returns the configuration in force at this host.
 func (s *service) ShowState(context.Context, *connect.Request[pb.ShowStateRequest]) (*connect.Response[pb.ShowStateResponse], error) {
-	state := s.backend.Book().State()
+	book := s.backend.Book()
+	state := book.State()
 	configuration, err := ticket.EncodeState(state)
 	if err != nil {
 		return nil, coded(err)
 	}
-	return connect.NewResponse(&pb.ShowStateResponse{Revision: state.Revision, Configuration: configuration}), nil
+	return connect.NewResponse(&pb.ShowStateResponse{
+		Revision:      state.Revision,
+		Configuration: configuration,
+		NextNumber:    book.NextNumber(),
+	}), nil
 }
 
 // ListTickets returns accepted tickets, oldest first.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
 	"encoding/hex"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -183,6 +187,23 @@
 		Expect(logs.String()).To(ContainSubstring(`"verdict":"VERDICT_ACCEPTED"`))
 	})
 
+	It("refuses a key in place of its hash before the ticket is stored", func() {
+		back.fail = &admin.DeniedError{Reason: "it reached the log"}
+		encoded, err := ticket.Encode(&ticket.Ticket{Number: 1, Workspaces: []ticket.Workspace{{Name: "w", KeyHashes: []string{"plain-key"}}}})
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := client("Bearer submit-token").SubmitTicket(context.Background(), connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encoded}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Msg.GetVerdict()).To(Equal(pb.Verdict_VERDICT_REFUSED))
+		Expect(len(resp.Msg.GetFaults())).To(BeNumerically(">", 3), "every fault is listed")
+		Expect(resp.Msg.String() + logs.String()).NotTo(ContainSubstring("plain-key"))
+		Expect(resp.Msg.GetNextNumber()).To(BeEquivalentTo(1))
+
+		back.book.Submit(encodedTicket(1, "desk"), 1) // the number is used by another ticket
+		resp, err = client("Bearer submit-token").SubmitTicket(context.Background(), connect.NewRequest(&pb.SubmitTicketRequest{Ticket: encoded}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Msg.GetVerdict()).To(Equal(pb.Verdict_VERDICT_CONFLICT))
+	})
+
 	DescribeTable("tells a change that never happens from an open outcome",
 		func(failure error, want connect.Code) {
 			back.fail = failure
@@ -236,3 +257,35 @@
 	Entry("unknown role", admin.Token{Name: "a", Hash: hash("x"), Roles: []admin.Role{"root"}}, "unknown"),
 	Entry("no name", admin.Token{Hash: hash("x"), Roles: []admin.Role{admin.RoleRead}}, "name is missing"),
 )
+
+var _ = DescribeTable("a verified client certificate names the caller",
+	func(state *tls.ConnectionState, wantShow, wantSubmit int) {
+		auth := admin.Auth{Certificates: []admin.Certificate{{Name: "control-room", Roles: []admin.Role{admin.RoleRead}}}}
+		_, handler := admin.NewHandler(newBackend(), auth, slog.New(slog.DiscardHandler))
+		status := func(procedure string) int {
+			r := httptest.NewRequest(http.MethodPost, procedure, strings.NewReader("{}"))
+			r.Header.Set("Content-Type", "application/json")
+			r.TLS = state
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			return w.Code
+		}
+		Expect(status(trefoilkeelv1connect.AdminServiceShowStateProcedure)).To(Equal(wantShow))
+		Expect(status(trefoilkeelv1connect.AdminServiceSubmitTicketProcedure)).To(Equal(wantSubmit))
+	},
+	Entry("known", connection("control-room", true), http.StatusOK, http.StatusForbidden),
+	Entry("another name", connection("control-roof", true), http.StatusUnauthorized, http.StatusUnauthorized),
+	Entry("no name", connection("", true), http.StatusUnauthorized, http.StatusUnauthorized),
+	Entry("not verified", connection("control-room", false), http.StatusUnauthorized, http.StatusUnauthorized),
+	Entry("no TLS", nil, http.StatusUnauthorized, http.StatusUnauthorized),
+)
+
+// connection is a TLS connection whose peer sent a certificate.
+func connection(name string, verified bool) *tls.ConnectionState {
+	certificate := &x509.Certificate{Subject: pkix.Name{CommonName: name}}
+	state := &tls.ConnectionState{PeerCertificates: []*x509.Certificate{certificate}}
+	if verified {
+		state.VerifiedChains = [][]*x509.Certificate{{certificate}}
+	}
+	return state
+}
--- a/internal/admin/convert.go
+++ b/internal/admin/convert.go
@@ -7,18 +7,23 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
 
+// unreadable is the fault of a ticket whose form is broken.
+func unreadable(err error) []ticket.Fault {
+	return []ticket.Fault{{Object: "ticket", Problem: err.Error(), Remedy: "correct the ticket file"}}
+}
+
 // sign gives a ticket without an author the name of its caller. A ticket with
 // another author is refused: the history shall name who really made a change.
-func sign(encoded []byte, c caller) ([]byte, []ticket.Fault) {
+func sign(encoded []byte, c caller) (*ticket.Ticket, []byte, []ticket.Fault) {
 	t, err := ticket.Decode(encoded)
 	if err != nil {
-		return nil, []ticket.Fault{{Object: "ticket", Problem: err.Error(), Remedy: "correct the ticket file"}}
+		return nil, nil, unreadable(err)
 	}
 	switch {
 	case t.Author == "":
 		t.Author = c.name
 	case t.Author != c.name && !c.open:
-		return nil, []ticket.Fault{{
+		return nil, nil, []ticket.Fault{{
 			Object:  "ticket",
 			Field:   "author",
 			Problem: "the author is " + strconv.Quote(t.Author) + ", but the caller is " + strconv.Quote(c.name),
@@ -27,9 +32,9 @@
 	}
 	signed, err := ticket.Encode(t)
 	if err != nil {
-		return nil, []ticket.Fault{{Object: "ticket", Problem: err.Error(), Remedy: "correct the ticket file"}}
+		return nil, nil, unreadable(err)
 	}
-	return signed, nil
+	return t, signed, nil
 }
 
 func faultMessages(faults []ticket.Fault) []*pb.Fault {
--- a/internal/ticket/book.go
+++ b/internal/ticket/book.go
@@ -111,6 +111,13 @@
 	return b.state
 }
 
+// NextNumber returns the lowest ticket number that is free.
+func (b *Book) NextNumber() uint64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.nextNumber()
+}
+
 // Since returns the accepted tickets after a revision, oldest first; ok is
 // false if they are no longer kept, or if the revision is newer than the book.
 func (b *Book) Since(revision uint64) (entries []Entry, ok bool) {
--- a/internal/ticket/check_state.go
+++ b/internal/ticket/check_state.go
@@ -161,6 +161,15 @@
 	}
 }
 
+// MayExposeKey reports whether a ticket has something else in the place of a
+// key hash. It could be the key itself: such a ticket is refused in any state,
+// and must not be stored.
+func (t *Ticket) MayExposeKey() bool {
+	return slices.ContainsFunc(t.Workspaces, func(w Workspace) bool {
+		return slices.ContainsFunc(w.KeyHashes, func(hash string) bool { return !validHash(hash) })
+	})
+}
+
 func validHash(hash string) bool {
 	if len(hash) != keyHashBytes {
 		return false
