Count starts, not attempts to start, for the starvation share

Cause: a property found 3 of 6 starts out of the order of tiers where one in four was allowed (5,000 cases): each attempt to fill a slot counted as a start, and there is one for every token. Change: only starts count. Conclusion: the share now is what its text says.

--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -82,11 +82,10 @@
 // pick removes and returns the request that starts next; nil if none waits.
 func (q *Queue) pick(now time.Time) *item {
 	if it := q.aged(now); it != nil {
-		q.sinceAged = 0
+		q.sinceAged = -1 // its own start makes it 0
 		q.dequeue(it)
 		return it
 	}
-	q.sinceAged++
 	return q.strict(now, q.lowestWithRoom(now))
 }
 
@@ -129,6 +128,7 @@
 }
 
 func (q *Queue) start(now time.Time, it *item) {
+	q.sinceAged++
 	q.class(it.Class).lastStart = now
 	it.startedAt = now
 	it.tokenAt = time.Time{}
