--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -22,11 +23,10 @@
 
 // Connection bounds towards the endpoint.
 const (
-	maxIdleConns    = 64
-	idleTimeout     = 90 * time.Second
-	dialTimeout     = 2 * time.Second
-	maxHeaderBytes  = 64 << 10
-	readBufferBytes = 16 << 10
+	maxIdleConns   = 64
+	idleTimeout    = 90 * time.Second
+	dialTimeout    = 2 * time.Second
+	maxHeaderBytes = 64 << 10
 )
 
 // UnreachableError says that the endpoint was never sent the request.
@@ -83,7 +83,6 @@
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         readBufferBytes,
 		DisableCompression:     true,
 	}
 	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
@@ -125,7 +124,8 @@
 		return nil, err
 	}
 	request.ContentLength = int64(len(call.Body))
-	request.Header = call.Header.Clone()
+	request.Header = http.Header{}
+	maps.Copy(request.Header, call.Header.Clone())
 	request.Header.Set(HeaderRequestID, call.ID)
 	return request, nil
 }
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -38,8 +38,7 @@
 	if it == nil {
 		return false
 	}
-	delete(q.running, it.ID)
-	q.tiers[it.Tier].running--
+	q.stopped(it)
 	it.preemptions++
 	q.do(Preempt{ID: it.ID})
 	if next := q.strict(now, tier); next != nil {
@@ -78,6 +77,6 @@
 
 // mayPreempt says that a running request can still be stopped and wait again.
 func (q *Queue) mayPreempt(now time.Time, it *item) bool {
-	return it.Preemptible && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
+	return it.Preemptible && !it.shielded && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
 		it.preemptions < q.config.MaxPreemptions && it.StartBy.After(now)
 }
--- a/internal/flow/tier.go
+++ b/internal/flow/tier.go
@@ -5,10 +5,15 @@
 // movePart of the time to its target is what a request that may move waits.
 const movePart = 2
 
+// marginPart bounds the time kept for the first token to a part of the target,
+// so that a slow endpoint does not make everything late on arrival.
+const marginPart = 2
+
 // tier holds the waiting requests of one tier.
 type tier struct {
 	onTime, late *fair
 	expiry       heap
+	arrival      heap
 	target       heap // of the requests on time that have a target
 	running      int
 	peak         peak
@@ -17,7 +22,7 @@
 func newTier() *tier {
 	return &tier{
 		onTime: newFair(), late: newFair(),
-		expiry: heap{kind: byExpiry}, target: heap{kind: byTarget},
+		expiry: heap{kind: byExpiry}, arrival: heap{kind: byArrival}, target: heap{kind: byTarget},
 	}
 }
 
@@ -31,13 +36,15 @@
 	}
 	it.key[byExpiry] = it.StartBy.UnixNano()
 	t.expiry.push(it)
+	it.key[byArrival] = it.Arrived.UnixNano()
+	t.arrival.push(it)
 	if it.FirstTokenTarget <= 0 {
 		it.late = false
 		it.key[byOrder] = it.StartBy.UnixNano()
 		t.onTime.add(it)
 		return
 	}
-	slack := it.FirstTokenTarget - firstToken
+	slack := it.FirstTokenTarget - min(firstToken, it.FirstTokenTarget/marginPart)
 	if it.MayMove {
 		slack /= movePart
 	}
@@ -56,6 +63,7 @@
 
 func (t *tier) remove(it *item) {
 	t.expiry.remove(it)
+	t.arrival.remove(it)
 	t.target.remove(it)
 	if it.late {
 		t.late.remove(it)
@@ -94,6 +102,7 @@
 		return nil
 	}
 	t.expiry.remove(it)
+	t.arrival.remove(it)
 	t.target.remove(it)
 	return it
 }
@@ -108,11 +117,9 @@
 
 // oldest returns the earliest arrival among the waiting requests.
 func (t *tier) oldest() (time.Time, bool) {
-	var first time.Time
-	for _, it := range t.expiry.items {
-		if first.IsZero() || it.Arrived.Before(first) {
-			first = it.Arrived
-		}
+	it := t.arrival.head()
+	if it == nil {
+		return time.Time{}, false
 	}
-	return first, !first.IsZero()
+	return it.Arrived, true
 }
--- a/internal/router/ordinary.go
+++ b/internal/router/ordinary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
 )
 
@@ -156,7 +158,7 @@
 func (j *journey) retry(t *attempt, refused *dispatch.Refusal) bool {
 	j.refused = refused
 	if j.router.picker.takeRetry(j.query.class.Name) {
-		j.router.counts.retried.Add(1)
+		j.router.options.Metrics.Add(metrics.Retries, 1)
 		j.router.logger.Info("retry", "request", j.query.id, "class", j.query.class.Name, "after", t.choice.endpoint.GetName())
 		return true
 	}
@@ -194,6 +196,7 @@
 	if err != nil {
 		return j.failed(ctx, t, err)
 	}
+	j.query.tokens = usedTokens(body)
 	j.router.writeAnswer(j.writer, j.query, response.StatusCode, response.Header, body)
 	if response.StatusCode >= http.StatusInternalServerError {
 		return routing.Failed, true
@@ -213,6 +216,17 @@
 	return body, nil
 }
 
+// usedTokens reads the engine's own count of an answer's tokens, 0 if there is none.
+func usedTokens(body []byte) int {
+	var answer struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	_ = json.Unmarshal(body, &answer)
+	return answer.Usage.CompletionTokens
+}
+
 // writeAnswer sends a whole answer.
 func (rt *Router) writeAnswer(w http.ResponseWriter, q *query, status int, header http.Header, body []byte) {
 	h := w.Header()
@@ -223,7 +237,7 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerStall))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
-	rt.counts.answered.Add(1)
+	rt.finished(q, time.Now(), 0)
 	rt.logger.Info("answered", "request", q.id, "workspace", q.workspace.Name, "class", q.class.Name, "status", status,
 		"bytes", len(body), "after_ms", time.Since(q.received).Milliseconds())
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -5,16 +5,21 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
 )
 
-// relayBuffer is the size of one read from an agent, in bytes.
-const relayBuffer = 16 << 10
+// Sizes of a stream's buffer, in bytes.
+const (
+	relayBuffer = 8 << 10 // at the start
+	maxEvent    = 1 << 20 // at most: one event
+)
 
 // endMark is the last event of a whole stream.
 const endMark = "data: [DONE]\n\n"
@@ -34,10 +39,11 @@
 		j.streamHead(response)
 	} else {
 		j.stream.resumed()
-		j.router.counts.resumed.Add(1)
+		j.router.options.Metrics.Add(metrics.StreamsResumed, 1)
 		j.router.logger.Info("resume", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(), "events", j.stream.events)
 	}
 	err := j.copyEvents(response.Body)
+	j.query.tokens = j.stream.events
 	whole := err == nil && j.stream.done && response.Trailer.Get(dispatch.HeaderOutcome) == dispatch.Whole
 	if whole || (ctx.Err() == nil && j.finishOver()) {
 		j.streamDone()
@@ -73,26 +79,28 @@
 // copyEvents relays whole events until the end of the body. The end mark is
 // held back: it is sent once the agent has called the stream whole.
 func (j *journey) copyEvents(from io.Reader) error {
-	buffer := relayBuffers.Get().(*[]byte)
-	defer relayBuffers.Put(buffer)
+	pooled := relayBuffers.Get().(*[]byte)
+	defer relayBuffers.Put(pooled)
+	buffer := *pooled
 	control := http.NewResponseController(j.writer)
 	held := 0 // bytes of an unfinished event at the start of the buffer
 	for {
-		if held == len(*buffer) {
-			return &eventTooLongError{limit: relayBuffer}
+		if held == maxEvent {
+			return &EventTooLongError{Limit: maxEvent}
 		}
-		n, err := from.Read((*buffer)[held:])
-		piece := (*buffer)[:held+n]
-		cut := bytes.LastIndex(piece, eventEnd) + len(eventEnd)
-		if cut < len(eventEnd) {
-			cut = 0
+		if held == len(buffer) {
+			buffer = append(buffer, make([]byte, len(buffer))...)
 		}
-		if cut > 0 {
+		n, err := from.Read(buffer[held:])
+		piece := buffer[:held+n]
+		cut := 0
+		if at := bytes.LastIndex(piece, eventEnd); at >= 0 {
+			cut = at + len(eventEnd)
 			if sendErr := j.send(control, piece[:cut]); sendErr != nil {
 				return sendErr
 			}
 		}
-		held = copy(*buffer, piece[cut:])
+		held = copy(buffer, piece[cut:])
 		if err == io.EOF {
 			return nil
 		}
@@ -102,13 +110,15 @@
 	}
 }
 
-// eventTooLongError says that one event exceeds the relay buffer.
-type eventTooLongError struct {
-	limit int
+// EventTooLongError says that one event of a stream exceeds the bound.
+type EventTooLongError struct {
+	Limit int // bytes
 }
 
-// Error says so.
-func (e *eventTooLongError) Error() string { return "an event is longer than the relay buffer" }
+// Error gives the bound.
+func (e *EventTooLongError) Error() string {
+	return "an event is longer than " + strconv.Itoa(e.Limit) + " bytes"
+}
 
 // send passes whole events to the caller and notes them.
 func (j *journey) send(control *http.ResponseController, events []byte) error {
@@ -116,7 +126,11 @@
 	if len(events) == 0 {
 		return nil
 	}
-	_ = control.SetWriteDeadline(time.Now().Add(callerStall))
+	now := time.Now()
+	if j.stream.first.IsZero() {
+		j.stream.first = now
+	}
+	_ = control.SetWriteDeadline(now.Add(callerStall))
 	if _, err := j.writer.Write(events); err != nil {
 		return &callerGoneError{cause: err}
 	}
@@ -141,7 +155,7 @@
 func (j *journey) streamDone() {
 	_, err := io.WriteString(j.writer, endMark)
 	j.router.picker.succeeded(j.query.class.Name)
-	j.router.counts.answered.Add(1)
+	j.router.finished(j.query, j.stream.first, j.stream.events)
 	j.router.logger.Info("answered", "request", j.query.id, "workspace", j.query.workspace.Name, "class", j.query.class.Name,
 		"status", http.StatusOK, "events", j.stream.events, "delivered", err == nil, "after_ms", time.Since(j.query.received).Milliseconds())
 }
@@ -168,7 +182,7 @@
 // breakStream ends a stream so that nobody can take it for whole: an error
 // event, then an aborted connection. It does not return.
 func (rt *Router) breakStream(w http.ResponseWriter, q *query, refused *dispatch.Refusal) {
-	rt.counts.broken.Add(1)
+	rt.options.Metrics.Add(metrics.StreamsBroken, 1)
 	rt.logger.Warn("stream broken off", "request", q.id, "workspace", q.workspace.Name, "class", q.class.Name, "type", refused.Type, "message", refused.Message)
 	_, _ = w.Write(append(append([]byte("data: "), refused.Body()...), eventEnd...))
 	_ = http.NewResponseController(w).Flush()
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -15,6 +15,7 @@
 var comparePolicies = flag.Bool("policies", false, "print the comparison of policies in the model")
 
 var onlyPolicy = flag.String("only", "", "part of the name of the policies to print")
+var policySeed = flag.Uint64("seed", 1, "seed of the printed runs")
 var onlyScenario = flag.String("scenario", "", "part of the name of the scenarios to print")
 
 // mix is the classes of the rally desk; the rates are for twelve engines.
@@ -56,7 +57,14 @@
 	hot := base("prefixes")
 	hot.prefixes = 40
 	hot.classes = mix(1.6)
-	return []scenario{steady, low, top, fault, hot}
+	one := hot
+	one.name = "hot-prefix"
+	one.classes = mix(1.6)
+	one.hotPercent = 70
+	few := base("few-slots")
+	few.batch = 8
+	few.classes = burst(mix(0.6), "stage", 60, 10*time.Second, 30*time.Second)
+	return []scenario{steady, low, top, fault, hot, one, few}
 }
 
 func baseline() policy {
@@ -79,18 +87,21 @@
 	}
 	return []policy{
 		baseline(), full(),
+		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
 		with("rigid", func(p *policy) { p.rigid = true }),
-		with("headroom-100", func(p *policy) { p.flow.HeadroomPercent = 100 }),
 		with("no-headroom", func(p *policy) { p.flow.HeadroomPercent = -1 }),
-		with("no-preempt", func(p *policy) { p.flow.MaxPreemptions = -1 }),
+		with("no-move", func(p *policy) { p.move = false }),
+		with("no-aged", func(p *policy) { p.flow.AgedOneIn = -1 }),
+		with("aged-1-in-5", func(p *policy) { p.flow.AgedOneIn = 5 }),
 		with("fixed-16", func(p *policy) { p.flow = flow.Config{Slots: 16} }),
 		with("fixed-32", func(p *policy) { p.flow = flow.Config{Slots: 32} }),
-		with("no-move", func(p *policy) { p.move = false }),
+		with("fixed-48", func(p *policy) { p.flow = flow.Config{Slots: 48} }),
+		with("choices-1", func(p *policy) { p.routing.Choices = 1 }),
 		with("choices-3", func(p *policy) { p.routing.Choices = 3 }),
-		with("choices-4", func(p *policy) { p.routing.Choices = 4 }),
 		with("least-cost", func(p *policy) { p.routing.Choices = 1000 }),
-		with("spill-20", func(p *policy) { p.routing.SpillCost = 20 * time.Millisecond }),
-		with("spill-200", func(p *policy) { p.routing.SpillCost = 200 * time.Millisecond }),
+		with("one-domain", func(p *policy) { p.routing.SpillCost = time.Hour }),
+		with("no-affinity", func(p *policy) { p.routing.MaxPrefixes = -1 }),
+		with("no-events", func(p *policy) { p.noEvents = true }),
 	}
 }
 
@@ -113,8 +124,9 @@
 			100*float64(t.finished)/float64(max(t.offered, 1)), 100*float64(t.late)/float64(max(t.offered, 1)),
 			100*float64(t.slow)/float64(max(t.offered, 1)), percentile(t.ttft, 95).Milliseconds())
 	}
-	fmt.Fprintf(&b, " good/s %5.1f waste %4.1f%% load %.3f", float64(good)/w.scenario.length.Seconds(),
-		100*float64(w.wasted)/float64(max(w.tokens, 1)), float64(w.dispatched)/float64(max(w.arrivals, 1)))
+	fmt.Fprintf(&b, " good/s %5.1f waste %4.1f%% load %.3f hits %.1f%%", float64(good)/w.scenario.length.Seconds(),
+		100*float64(w.wasted)/float64(max(w.tokens, 1)), float64(w.dispatched)/float64(max(w.arrivals, 1)),
+		100*float64(w.hits)/float64(max(w.prompts, 1)))
 	return b.String()
 }
 
@@ -131,7 +143,7 @@
 			if !strings.Contains(p.name, *onlyPolicy) {
 				continue
 			}
-			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, 1).run().summary())
+			fmt.Printf("%-13s %-12s%s\n", s.name, p.name, newWorld(s, p, *policySeed).run().summary())
 		}
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -23,6 +23,9 @@
 	Prefix    []uint64 // hashes of the prompt's leading blocks, each over all before it
 	Bytes     int
 	Tried     []string // endpoints that refused or failed this request
+	// Busy are endpoints that gave this request back as busy. They are chosen
+	// again once nothing else is left, so that busy never reaches a caller.
+	Busy []string
 	// LowerTierOnly keeps to endpoints where a lower tier waits or runs.
 	LowerTierOnly bool
 }
@@ -35,11 +38,11 @@
 
 // Score is the estimate for one endpoint that was considered.
 type Score struct {
-	Endpoint string
-	Wait     time.Duration // expected time in the agent's queue
-	Cost     time.Duration // everything that the request would lose there
-	Blocks   int           // leading blocks of the prompt expected in its cache
-	Own      bool          // in the router's failure domain
+	Endpoint string        `json:"endpoint"`
+	Wait     time.Duration `json:"wait_ns"`    // expected time in the agent's queue
+	Cost     time.Duration `json:"cost_ns"`    // everything that the request would lose there
+	Blocks   int           `json:"blocks"`     // leading blocks of the prompt expected in its cache
+	Own      bool          `json:"own_domain"` // in the router's failure domain
 }
 
 // Decision is the endpoint chosen. Candidates is valid until the next Choose.
@@ -54,13 +57,12 @@
 
 // The reasons of a Decision.
 const (
-	ReasonOnly      = "only"       // one candidate was left
-	ReasonBetter    = "better"     // the best of a few random ones
-	ReasonAffinity  = "affinity"   // it holds the prompt's prefix
-	ReasonSpill     = "spill"      // the own failure domain would be later
-	ReasonLowerTier = "lower-tier" // it can displace a lower tier
-	ReasonProbe     = "probe"      // ejected, and due for a trial
-	ReasonEjected   = "ejected"    // every candidate is ejected
+	ReasonOnly     = "only"     // one candidate was left
+	ReasonBetter   = "better"   // the best of a few random ones
+	ReasonAffinity = "affinity" // it holds the prompt's prefix
+	ReasonSpill    = "spill"    // the own failure domain would be later
+	ReasonBusy     = "busy"     // back to the one that gave it back
+	ReasonEjected  = "ejected"  // every candidate is ejected
 )
 
 // NoEndpointError says why no endpoint is left.
@@ -110,7 +112,9 @@
 	EjectFor, MaxEjectFor time.Duration
 	// MaxEjectedPercent bounds the ejected endpoints of one group.
 	MaxEjectedPercent int
-	// BlockTime is the time to first token that one cached block saves.
+	// BlockTime is the advantage of one cached block in the score. It is more
+	// than the time that the block saves to this request, because the engine's
+	// other requests gain as well.
 	BlockTime time.Duration
 	// MaxPrefixes bounds the affinity index, in blocks; negative turns it off.
 	MaxPrefixes int
@@ -125,7 +129,7 @@
 	defaultEjectFor        = time.Second
 	defaultMaxEjectFor     = time.Minute
 	defaultMaxEjected      = 50
-	defaultBlockTime       = 2 * time.Millisecond
+	defaultBlockTime       = 100 * time.Millisecond
 	defaultMaxPrefixes     = 1 << 16
 )
 
