Count no silence from before this host led

Cause: heartbeats that a follower kept because no leader took them are old by the time it leads. The tracker took their age as silence, so an endpoint whose next heartbeat was a moment late lost its lease after an outage of control. Change: the time of the first tick of a leadership, and of the first after a pause, is a floor under every last sign of life; the eviction specs use that clock, so that no verdict depends on the machine's speed. Conclusion: a change of leader gives everyone a whole lease, whatever was queued.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -144,22 +145,30 @@
 	})
 })
 
+// member is an announcer that counts the heartbeats it began.
+type member struct {
+	*follow.Announcer
+	beats atomic.Int64
+}
+
 // announce runs an announcer until the spec ends.
-func announce(name string, urls ...string) *follow.Announcer {
-	a := follow.NewAnnouncer(follow.AnnouncerOptions{
+func announce(name string, urls ...string) *member {
+	m := &member{}
+	m.Announcer = follow.NewAnnouncer(follow.AnnouncerOptions{
 		ControlURLs: urls,
 		Endpoint:    endpoint(name),
 		HTTP:        client,
 		Interval:    5 * time.Millisecond,
 		Report: func() follow.Report {
+			m.beats.Add(1)
 			return follow.Report{State: pb.EndpointState_ENDPOINT_STATE_ACTIVE, Load: &pb.Load{Running: 1, Sequence: 1}}
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { _ = a.Run(ctx); close(ended) }()
+	go func() { _ = m.Run(ctx); close(ended) }()
 	DeferCleanup(func() { cancel(); <-ended })
-	return a
+	return m
 }
 
 var _ = Describe("membership", func() {
@@ -174,38 +183,44 @@
 	})
 
 	It("keeps healthy endpoints over an outage of control and a change of leader", func() {
-		settings := quick
-		settings.Lease = 300 * time.Millisecond
-		p, hosts := newPair(settings)
-		var members []*follow.Announcer
+		time := newClock()
+		p, hosts := newPair(quick, time.read)
+		var members []*member
 		for _, name := range []string{"e1", "e2", "e3"} {
 			members = append(members, announce(name, hosts[0].url, hosts[1].url))
 		}
-		for _, a := range members {
-			Eventually(a.Incarnation, within, every).ShouldNot(BeZero())
+		for _, m := range members {
+			Eventually(m.Incarnation, within, every).ShouldNot(BeZero())
 		}
 		first := members[0].Incarnation()
 		hosts[0].stop()
 		p.set(0, 0, 1)
-		Consistently(members[0].Incarnation, 2*settings.Lease, every).Should(Equal(first))
+		time.pass(5, members...)
+		time.advance(10 * control.DefaultLease)
 		p.set(1, 0)
-		Consistently(func() int { return len(list(hosts[1])) }, 3*settings.Lease, every).Should(Equal(3))
+		time.pass(20, members...)
+		Expect(list(hosts[1])).To(HaveLen(3))
 		Expect(members[0].Incarnation()).To(Equal(first))
 	})
 
-	It("ends the lease of an endpoint that went silent", func() {
-		settings := quick
-		settings.Lease = 200 * time.Millisecond
-		h := solo(settings)
+	It("ends the lease of an endpoint that went silent, and no other", func() {
+		time := newClock()
+		h := solo(quick, time.read)
+		var members []*member
 		for _, name := range []string{"e1", "e2", "e3"} {
-			announce(name, h.url)
+			members = append(members, announce(name, h.url))
 		}
 		_, err := h.directory().Announce(context.Background(), connect.NewRequest(&pb.AnnounceRequest{
 			Endpoint: endpoint("silent"), Nonce: "n",
 		}))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() int { return len(list(h)) }, within, every).Should(Equal(4))
-		Eventually(func() int { return len(list(h)) }, within, every).Should(Equal(3))
+		Eventually(func() int {
+			time.pass(1, members...)
+			return len(list(h))
+		}, within, every).Should(Equal(3))
+		_, silent := h.machine.Member("silent")
+		Expect(silent).To(BeFalse())
 	})
 
 	It("ends an announcer whose name a later process took", func() {
--- a/internal/control/pair_test.go
+++ b/internal/control/pair_test.go
@@ -32,13 +32,13 @@
 }
 
 // newPair starts two hosts; the first one leads.
-func newPair(s control.Settings) (*pair, [2]*host) {
+func newPair(s control.Settings, now ...func() time.Time) (*pair, [2]*host) {
 	GinkgoHelper()
 	p := &pair{}
 	var hosts [2]*host
 	for i := range hosts {
 		p.machines[i] = state.New(state.Options{})
-		hosts[i] = start("", p.machines[i], &replicaOf{pair: p, id: i}, s)
+		hosts[i] = start("", p.machines[i], &replicaOf{pair: p, id: i}, s, now...)
 		p.mu.Lock()
 		p.urls[i] = hosts[i].url
 		p.mu.Unlock()
--- a/internal/control/suite_test.go
+++ b/internal/control/suite_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,14 +40,18 @@
 }
 
 // start runs a control host at an address ("" for any) until the spec ends.
-func start(address string, machine *state.Machine, log replica.Log, s control.Settings) *host {
+func start(address string, machine *state.Machine, log replica.Log, s control.Settings, now ...func() time.Time) *host {
 	GinkgoHelper()
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
 	listener, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
-	server := control.New(control.Options{Machine: machine, Log: log, Settings: s, Auth: admin.Auth{Open: true}})
+	options := control.Options{Machine: machine, Log: log, Settings: s, Auth: admin.Auth{Open: true}}
+	if len(now) > 0 {
+		options.Now = now[0]
+	}
+	server := control.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{}, 2)
 	go func() { _ = server.Run(ctx); ended <- struct{}{} }()
@@ -76,10 +81,10 @@
 }
 
 // solo runs a control host whose log is in memory.
-func solo(s control.Settings) *host {
+func solo(s control.Settings, now ...func() time.Time) *host {
 	GinkgoHelper()
 	machine := state.New(state.Options{})
-	return start("", machine, replica.NewSolo(machine), s)
+	return start("", machine, replica.NewSolo(machine), s, now...)
 }
 
 func (h *host) directory() trefoilkeelv1connect.DirectoryServiceClient {
@@ -155,3 +160,36 @@
 func trefoilkeelDirectory(url string) trefoilkeelv1connect.DirectoryServiceClient {
 	return trefoilkeelv1connect.NewDirectoryServiceClient(client, url)
 }
+
+// clock is the time of the hosts, moved by hand.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newClock() *clock { return &clock{now: time.Now()} }
+
+func (c *clock) read() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// pass moves the clock by a number of seconds, and lets each member finish a
+// heartbeat in each of them.
+func (c *clock) pass(seconds int, members ...*member) {
+	GinkgoHelper()
+	for range seconds {
+		c.advance(time.Second)
+		for _, m := range members {
+			begun := m.beats.Load()
+			Eventually(m.beats.Load, within, time.Millisecond).Should(BeNumerically(">=", begun+2))
+		}
+	}
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -291,6 +291,12 @@
 		Expect(pass(40, 48, everyone[1:]...)).To(BeEmpty())
 	})
 
+	It("does not hold heartbeats from before it led against an endpoint", func() {
+		tracker.Heard(start.Add(-60*second), "x0", 1)
+		Expect(pass(0, 8, everyone[1:]...)).To(BeEmpty())
+		Expect(pass(8, 12, everyone[1:]...)).To(ContainElement("x0"))
+	})
+
 	It("does not count the heartbeats of an older incarnation", func() {
 		Expect(pass(0, 5, everyone...)).To(BeEmpty())
 		endpoints[0] = &pb.Endpoint{Name: "x0", Incarnation: 2, FailureDomain: "x"}
--- a/internal/lease/tracker.go
+++ b/internal/lease/tracker.go
@@ -29,6 +29,7 @@
 	heard    map[string]heard
 	held     map[string]bool
 	lastTick time.Time
+	floor    time.Time // everyone counts as heard at this time at least
 }
 
 // heard is the last sign of life of one incarnation.
@@ -72,8 +73,8 @@
 // before GroupGrace, and nobody at all while everyone is silent. When such a
 // silence ends, those not heard yet get one new lease.
 func (t *Tracker) Expire(now time.Time, endpoints []*pb.Endpoint) []*pb.Incarnation {
-	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > t.settings.Lease/2 {
-		clear(t.heard)
+	if t.lastTick.IsZero() || now.Sub(t.lastTick) > t.settings.Lease/2 {
+		t.floor = now
 	}
 	t.lastTick = now
 	t.sync(now, endpoints)
@@ -163,5 +164,9 @@
 }
 
 func (t *Tracker) silence(now time.Time, e *pb.Endpoint) time.Duration {
-	return now.Sub(t.heard[e.GetName()].at)
+	last := t.heard[e.GetName()].at
+	if last.Before(t.floor) {
+		last = t.floor
+	}
+	return now.Sub(last)
 }
