Refuse forwarded calls of another cluster and a second run

Cause: a forwarded proposal or host change did not name its cluster; a second Run, as a supervisor makes it, panicked on a closed channel; a single host warned at every stop that no one could take over; and the tests and figures were over HTTP/1.1, while the daemon joins its hosts over HTTP/2.

--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -111,6 +111,7 @@
 	node    *consensus.Node // owned by the step duty after Run
 	epoch   time.Time       // zero of the node's clock
 	stop    chan struct{}   // closed when Run has returned
+	started atomic.Bool     // Run was called
 
 	messages  *ring.Ring[[]consensus.Message]
 	proposals *ring.Ring[*proposal]
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -259,11 +259,11 @@
 }
 
 // TransferLeadership hands over before a planned stop, and returns once
-// another replica leads. It does nothing on a replica that does not lead. It
-// takes about an election timeout, because the lease must end first. Errors
+// another replica leads. It does nothing on a replica that does not lead, or
+// that is the only voter. It takes about an election timeout, because the lease must end first. Errors
 // are *NotRecorded or *UnknownError.
 func (r *Replica) TransferLeadership(ctx context.Context) error {
-	if r.view.Load().Role != consensus.Leader {
+	if view := r.view.Load(); view.Role != consensus.Leader || onlyVoter(view.Membership) {
 		return nil
 	}
 	err := r.ask(ctx, &control{transfer: true, done: make(chan outcome, 1)})
@@ -282,3 +282,14 @@
 	}
 	return nil
 }
+
+// onlyVoter reports whether there is one voter.
+func onlyVoter(m consensus.Membership) bool {
+	count := 0
+	for _, member := range m.Members {
+		if member.Voter {
+			count++
+		}
+	}
+	return count == 1
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -8,6 +8,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/consensus"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
 
 var _ = Describe("a log of one host", func() {
@@ -35,6 +38,8 @@
 		Expect(err).To(BeAssignableToTypeOf(&NotRecorded{}))
 		_, _, ok := r.Leading()
 		Expect(ok).To(BeFalse())
+		Expect(r.TransferLeadership(context.Background())).To(Succeed())
+		Expect(r.Run(context.Background())).To(BeAssignableToTypeOf(&OptionsError{}))
 	})
 })
 
@@ -100,6 +105,34 @@
 		Expect(c.hosts[3].machine.list()).To(Equal([]string{"a"}))
 	})
 
+	It("refuses calls that are meant for another cluster", func() {
+		c := newCluster(GinkgoTB(), 1, nil)
+		c.propose(1, "a")
+		other, err := Open(Options{ID: 2, ClusterID: "other", Dir: GinkgoT().TempDir(), Machine: &listMachine{},
+			HTTP: rpc.Client(nil)})
+		Expect(err).NotTo(HaveOccurred())
+		ctx := context.Background()
+		_, err = other.forward(ctx, c.hosts[1].url, []byte("b"))
+		Expect(err).To(BeAssignableToTypeOf(&refusal{}))
+		Expect(other.forwardChange(ctx, c.hosts[1].url, consensus.Member{ID: 2}, false)).To(BeAssignableToTypeOf(&refusal{}))
+		Expect(c.hosts[1].machine.list()).To(Equal([]string{"a"}))
+	})
+
+	It("tells what is certain from what is not", func() {
+		c := newCluster(GinkgoTB(), 1, nil)
+		r, url := c.hosts[1].replica, c.hosts[1].url
+		c.propose(1, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := r.forward(ctx, url, []byte("b"))
+		Expect(err).To(BeAssignableToTypeOf(&UnknownError{}))
+		c.kill(1)
+		r.clients.Clear()
+		r.options.HTTP = rpc.Client(nil) // without the connection of before
+		_, err = r.forward(context.Background(), url, []byte("c"))
+		Expect(err).To(BeAssignableToTypeOf(&refusal{}), "no connection came about")
+	})
+
 	It("hands over, adds and removes hosts", func() {
 		c := newCluster(GinkgoTB(), 3, nil)
 		c.voters(3)
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -19,9 +19,12 @@
 }
 
 // Run drives the replica until ctx ends or the journal fails, then closes
-// the data folder. It must be called once. An error is one of package
-// journal, or of the state machine's Restore.
+// the data folder. A second call is refused with *OptionsError. Other errors
+// are those of package journal, or of the state machine's Restore.
 func (r *Replica) Run(ctx context.Context) error {
+	if r.started.Swap(true) {
+		return &OptionsError{Field: "Run", Reason: "was called before; open the data folder again"}
+	}
 	defer close(r.stop)
 	group, ctx := errgroup.WithContext(ctx)
 	s := &stepper{Replica: r, group: group, peers: map[uint64]*ring.Ring[consensus.Message]{}}
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -15,6 +15,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
 
 func TestReplica(t *testing.T) {
@@ -149,9 +151,9 @@
 		c.listen(h)
 	}
 	h.machine = &listMachine{}
-	transport := &http.Transport{MaxIdleConnsPerHost: 4}
+	client := rpc.Client(nil)
 	options := Options{ID: id, ClusterID: "test", Dir: h.dir, SelfURL: h.url, Members: c.members,
-		Bootstrap: bootstrap, Machine: h.machine, HTTP: &http.Client{Transport: transport}}
+		Bootstrap: bootstrap, Machine: h.machine, HTTP: client}
 	if c.adjust != nil {
 		c.adjust(&options)
 	}
@@ -160,7 +162,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	mux := http.NewServeMux()
 	mux.Handle(h.replica.Handler())
-	server := &http.Server{Handler: mux}
+	// Closed without a shutdown, so not by rpc.Serve.
+	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
+	server.Protocols.SetUnencryptedHTTP2(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { _ = server.Serve(h.listener) }()
@@ -169,7 +173,7 @@
 		_ = server.Close()
 		cancel()
 		Expect(<-done).To(Succeed())
-		transport.CloseIdleConnections()
+		client.CloseIdleConnections()
 		h.listener, h.stop = nil, nil
 	}
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -152,7 +152,7 @@
 
 // forward proposes at the leader.
 func (r *Replica) forward(ctx context.Context, url string, command []byte) ([]byte, error) {
-	response, err := r.client(url).Propose(ctx, connect.NewRequest(&pb.ProposeRequest{Command: command}))
+	response, err := r.client(url).Propose(ctx, connect.NewRequest(&pb.ProposeRequest{Command: command, Cluster: r.options.ClusterID}))
 	if err != nil {
 		return nil, forwardError(err)
 	}
@@ -161,7 +161,7 @@
 
 // forwardChange asks the leader for a change of the hosts.
 func (r *Replica) forwardChange(ctx context.Context, url string, m consensus.Member, remove bool) error {
-	request := &pb.ChangeMemberRequest{Id: m.ID, Url: m.URL, Remove: remove}
+	request := &pb.ChangeMemberRequest{Id: m.ID, Url: m.URL, Remove: remove, Cluster: r.options.ClusterID}
 	_, err := r.client(url).ChangeMember(ctx, connect.NewRequest(request))
 	return forwardError(err)
 }
@@ -180,7 +180,7 @@
 		switch connect.CodeOf(err) {
 		case connect.CodeFailedPrecondition:
 			return &refusal{reason: err.Error(), retry: true}
-		case connect.CodeAborted:
+		case connect.CodeAborted, connect.CodePermissionDenied:
 			return &refusal{reason: err.Error()}
 		}
 	}
@@ -211,10 +211,18 @@
 	return trefoilkeelv1connect.NewPeerServiceHandler(&peerService{r}, connect.WithReadMaxBytes(maxPeerBytes))
 }
 
+// sameCluster refuses a request that was meant for another cluster.
+func (s *peerService) sameCluster(cluster string) error {
+	if cluster == s.options.ClusterID {
+		return nil
+	}
+	return connect.NewError(connect.CodePermissionDenied, &refusal{reason: "this host is of another cluster"})
+}
+
 // Step takes messages of another host.
 func (s *peerService) Step(_ context.Context, req *connect.Request[pb.StepRequest]) (*connect.Response[pb.StepResponse], error) {
-	if req.Msg.Cluster != s.options.ClusterID {
-		return nil, connect.NewError(connect.CodePermissionDenied, &refusal{reason: "another cluster"})
+	if err := s.sameCluster(req.Msg.Cluster); err != nil {
+		return nil, err
 	}
 	batch := make([]consensus.Message, 0, len(req.Msg.Messages))
 	for _, encoded := range req.Msg.Messages {
@@ -235,6 +243,9 @@
 
 // Propose proposes here, as the leader.
 func (s *peerService) Propose(ctx context.Context, req *connect.Request[pb.ProposeRequest]) (*connect.Response[pb.ProposeResponse], error) {
+	if err := s.sameCluster(req.Msg.Cluster); err != nil {
+		return nil, err
+	}
 	result, err := s.proposeHere(ctx, req.Msg.Command)
 	if err != nil {
 		return nil, answerError(err)
@@ -244,6 +255,9 @@
 
 // ChangeMember changes the hosts here, as the leader.
 func (s *peerService) ChangeMember(ctx context.Context, req *connect.Request[pb.ChangeMemberRequest]) (*connect.Response[pb.ChangeMemberResponse], error) {
+	if err := s.sameCluster(req.Msg.Cluster); err != nil {
+		return nil, err
+	}
 	member := consensus.Member{ID: req.Msg.Id, URL: req.Msg.Url}
 	err := s.ask(ctx, &control{member: member, remove: req.Msg.Remove, done: make(chan outcome, 1)})
 	if err != nil {
