Bound the log lines on denied administration calls

Cause: every call without a token wrote a line, so anybody who reaches the listener could fill a disk.

--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -168,6 +170,7 @@
 	next   http.Handler
 	logger *slog.Logger
 	errors *connect.ErrorWriter
+	denied deniedLines
 }
 
 // ServeHTTP authenticates the caller and checks its role.
@@ -190,10 +193,42 @@
 }
 
 func (g *gate) deny(w http.ResponseWriter, r *http.Request, code connect.Code, c caller, reason string) {
-	g.logger.Warn("admin call denied", "procedure", r.URL.Path, "author", c.name, "code", code.String(), "remote", r.RemoteAddr)
+	if skipped, ok := g.denied.take(time.Now().Unix()); ok {
+		g.logger.Warn("admin call denied", "procedure", r.URL.Path, "author", c.name,
+			"code", code.String(), "remote", r.RemoteAddr, "skipped", skipped)
+	}
 	_ = g.errors.Write(w, r, connect.NewError(code, &DeniedError{Reason: reason}))
 }
 
+// maxDeniedLines bounds the log lines on denied calls, a second.
+const maxDeniedLines = 10
+
+// deniedLines counts the log lines on denied calls in one second, so that
+// callers without a token can't fill a disk.
+type deniedLines struct {
+	mu      sync.Mutex
+	second  int64
+	written int
+	skipped int
+}
+
+// take reports whether a line may be written, and how many were skipped since
+// the last one.
+func (d *deniedLines) take(second int64) (skipped int, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if second != d.second {
+		d.second, d.written = second, 0
+	}
+	if d.written == maxDeniedLines {
+		d.skipped++
+		return 0, false
+	}
+	d.written++
+	skipped, d.skipped = d.skipped, 0
+	return skipped, true
+}
+
 type callerKey struct{}
 
 func withCaller(ctx context.Context, c caller) context.Context {
