Forget a plain service's unloaded latency by time, not by answers

Cause: a new test with a lasting backlog saw the limit of a plain service with 16 slots go to 127: its unloaded latency drifted up with every answer. Before and after: limit 127 to at most 48 for 16 slots and at most 12 for 4; engines are not touched by it.

--- a/internal/flow/limiter.go
+++ b/internal/flow/limiter.go
@@ -7,24 +7,25 @@
 
 // Constants of the adaptive concurrency.
 const (
-	limitWindow  = 100 * time.Millisecond // observations of one adjustment
-	recentClass  = 30 * time.Second       // a class counts as present for so long
-	targetMargin = 0.85                   // part of a between-tokens target aimed at
-	firstPart    = 0.5                    // part of a first-token target that the endpoint may use
-	latencyRise  = 2.0                    // a plain service may take so much longer than unloaded
-	latencyDrift = 1.0 / 1024             // the unloaded latency is forgotten so fast per observation
-	decrease     = 0.9                    // per window over its bound
-	growBelow    = 0.7                    // of its bound, for the limit to grow
-	forget       = 0.98                   // weight of past windows in the slope
-	firstSlope   = 0.05                   // slope per request before it is learnt
-	minSlope     = 0.002
-	maxSlope     = 1.0
-	minVariance  = 4.0 // of the running requests, to learn the slope from them
-	pendingPart  = 4.0 // of the requests with tokens may wait for their first one
-	minPending   = 2.0 // so many may always, unless first tokens are late
-	latePending  = 0.5 // may wait while first tokens are late
-	pendingShare = 4.0 // one window moves the smoothed figures by 1 in so many
-	kneeRise     = 1.0 // never fewer slots than double the time of an empty engine
+	limitWindow   = 100 * time.Millisecond // observations of one adjustment
+	recentClass   = 30 * time.Second       // a class counts as present for so long
+	targetMargin  = 0.85                   // part of a between-tokens target aimed at
+	firstPart     = 0.5                    // part of a first-token target that the endpoint may use
+	latencyRise   = 2.0                    // a plain service may take so much longer than unloaded
+	unloadedTwice = 5 * time.Minute        // without a lower one, the unloaded latency doubles in so long
+	fewSlots      = 2                      // at so few, the latency seen is taken as unloaded
+	decrease      = 0.9                    // per window over its bound
+	growBelow     = 0.7                    // of its bound, for the limit to grow
+	forget        = 0.98                   // weight of past windows in the slope
+	firstSlope    = 0.05                   // slope per request before it is learnt
+	minSlope      = 0.002
+	maxSlope      = 1.0
+	minVariance   = 4.0 // of the running requests, to learn the slope from them
+	pendingPart   = 4.0 // of the requests with tokens may wait for their first one
+	minPending    = 2.0 // so many may always, unless first tokens are late
+	latePending   = 0.5 // may wait while first tokens are late
+	pendingShare  = 4.0 // one window moves the smoothed figures by 1 in so many
+	kneeRise      = 1.0 // never fewer slots than double the time of an empty engine
 )
 
 // limiter decides how many requests run at the endpoint at once. The time
@@ -46,7 +47,8 @@
 	// lateFirst says that first tokens took longer than their part of the
 	// target when any came last.
 	lateFirst bool
-	unloaded  float64 // least latency of a plain service, ns
+	unloaded  float64   // least latency of a plain service, ns
+	finishAt  time.Time // of the last answer without tokens
 }
 
 // classTargets are the targets of a class that was present lately.
@@ -119,8 +121,11 @@
 		return
 	}
 	latency := float64(took)
-	l.unloaded += l.unloaded * latencyDrift
-	if l.unloaded == 0 || latency < l.unloaded {
+	if since := now.Sub(l.finishAt); l.unloaded > 0 && since > 0 {
+		l.unloaded *= math.Exp2(float64(since) / float64(unloadedTwice))
+	}
+	l.finishAt = now
+	if l.unloaded == 0 || latency < l.unloaded || l.limit <= fewSlots {
 		l.unloaded = latency
 	}
 	l.latency(now, latency/(latencyRise*l.unloaded), running)
--- a/internal/flow/queue_test.go
+++ b/internal/flow/queue_test.go
@@ -94,4 +94,64 @@
 		_, ok = q.NextTick(at)
 		Expect(ok).To(BeFalse())
 	})
+
+	It("refuses before the start what cannot be whole in time, and tries again later", func() {
+		q := New(Config{Slots: 1, MaxPreemptions: -1})
+		q.Arrive(epoch, ask("long", 1, "w", 0))
+		short := ask("short", 1, "w", 0)
+		short.Deadline = epoch.Add(7 * time.Second)
+		q.Arrive(epoch, short)
+		got := q.Finish(epoch.Add(5*time.Second), "long", Whole)
+		Expect(got).To(Equal([]Action{Refuse{ID: "short", Reason: DeadlineExceeded, RetryAfter: 5 * time.Second}}))
+		now := epoch.Add(6 * time.Second)
+		for tries := 1; ; tries++ {
+			again := ask("again", 1, "w", 6*time.Second)
+			again.Deadline = now.Add(4500 * time.Millisecond)
+			if ids := starts(q.Arrive(now, again)); len(ids) == 1 {
+				break
+			}
+			Expect(tries).To(BeNumerically("<", 10))
+		}
+	})
+
+	It("forgets a cancelled request and refuses all that waits for a drain", func() {
+		q := New(Config{Slots: 1, MaxPreemptions: -1})
+		q.Arrive(epoch, ask("running", 1, "w", 0))
+		q.Arrive(epoch, ask("gone", 1, "w", 0))
+		q.Arrive(epoch, ask("waits", 2, "w", 0))
+		Expect(refusals(q.Arrive(epoch, ask("waits", 2, "w", 0)))[0].Reason).To(Equal(Duplicate))
+		Expect(q.Cancel(epoch, "gone")).To(BeEmpty())
+		got := refusals(q.RefuseWaiting(epoch, Draining))
+		Expect(got).To(HaveLen(1))
+		Expect(got[0].ID).To(Equal("waits"))
+		Expect(got[0].Reason).To(Equal(Draining))
+		Expect(q.Running()).To(Equal(1))
+		Expect(q.Cancel(epoch, "running")).To(BeEmpty())
+		Expect(q.Running() + q.Waiting()).To(Equal(0))
+	})
+
+	DescribeTable("settles near the slots of a plain service", func(slots int) {
+		q := New(Config{Slots: 2, Adaptive: true})
+		now := epoch
+		var running []string
+		for i := range 4000 {
+			r := ask(fmt.Sprint("r", i), 2, "w", now.Sub(epoch))
+			r.FirstTokenTarget = 0
+			r.StartBy = r.StartBy.Add(time.Hour)
+			running = append(running, starts(q.Arrive(now, r))...)
+			if i < 200 {
+				continue // a backlog
+			}
+			// The service takes 50 ms, longer by what waits inside it.
+			now = now.Add(50 * time.Millisecond / time.Duration(min(slots, len(running))))
+			done := running[0]
+			q.running[done].startedAt = now.Add(-50 * time.Millisecond * time.Duration(max(len(running), slots)) / time.Duration(slots))
+			running = append(running[1:], starts(q.Finish(now, done, Whole))...)
+		}
+		Expect(q.limit.slots()).To(BeNumerically(">=", slots))
+		Expect(q.limit.slots()).To(BeNumerically("<=", 3*slots))
+	},
+		Entry("four", 4),
+		Entry("sixteen", 16),
+	)
 })
