Preempt streams after their first token, keep a moved request's place

Cause: the agent told its queue that no stream could be preempted once it had a token, that every request was as old as its arrival at this agent, and a busy endpoint counted as tried. Change: a preempted stream is given back to its router, which continues it elsewhere or here from the tokens sent, free of the retry budget; a preemption that loses no work is not weighed against lost work; a request's age is the caller's; a busy endpoint is chosen again once nothing else is left; a request that has waited for half of its patience may look for a better place once. A finish that crossed a preemption left a request in the queue for good: its slot would have leaked; it is taken out now.

--- a/internal/agent/ordinary.go
+++ b/internal/agent/ordinary.go
@@ -41,11 +41,13 @@
 		a.refuse(w, r, notRun(dispatch.Overloaded, http.StatusTooManyRequests, err.Error()))
 		return
 	}
+	late := t.lateMove()
 	for {
-		if refusal := a.await(ctx, t); refusal != nil {
+		if refusal := a.await(ctx, t, late); refusal != nil {
 			a.refuse(w, r, refusal)
 			return
 		}
+		late = nil
 		if !a.callOnce(ctx, w, r, t) {
 			return
 		}
@@ -103,12 +105,12 @@
 	p.stream = isEventStream(response.Header)
 	p.firm = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	whole := p.copy(ctx, response.Body)
-	outcome := dispatch.Broken
-	if whole {
-		outcome = dispatch.Whole
-	}
+	outcome := outcomeOf(ctx, whole)
 	w.Header().Set(dispatch.HeaderOutcome, outcome)
 	a.tokens.Add(uint64(p.tracker.Events()))
+	if outcome == dispatch.GivenBack {
+		return flow.Gone
+	}
 	if ctx.Err() != nil {
 		a.wasted.Add(uint64(p.tracker.Events()))
 		return flow.Gone
@@ -119,6 +121,17 @@
 	return flow.Whole
 }
 
+// outcomeOf is what the router is told at the end of an answer.
+func outcomeOf(ctx context.Context, whole bool) string {
+	if whole {
+		return dispatch.Whole
+	}
+	if _, preempted := context.Cause(ctx).(*PreemptedError); preempted {
+		return dispatch.GivenBack
+	}
+	return dispatch.Broken
+}
+
 // answerHead sets the headers that bind the answer to its request.
 func (a *Agent) answerHead(ctx context.Context, w http.ResponseWriter, t *attempt, response *http.Response) {
 	h := w.Header()
--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
@@ -60,9 +61,9 @@
 		select {
 		case event := <-d.events.Out():
 			now := time.Now()
-			d.carryOut(event(d.queue, now))
+			d.carryOut(slices.Clone(event(d.queue, now)))
 		case now := <-timer.C:
-			d.carryOut(d.queue.Tick(now))
+			d.carryOut(slices.Clone(d.queue.Tick(now)))
 		case <-ctx.Done():
 			return nil
 		}
@@ -86,7 +87,7 @@
 		d.observe(action)
 		switch a := action.(type) {
 		case flow.Start:
-			d.tell(a.ID, verdict{start: true})
+			d.start(a.ID)
 		case flow.Refuse:
 			d.tell(a.ID, verdict{refusal: &a})
 			delete(d.waiters, a.ID)
@@ -96,6 +97,16 @@
 	}
 }
 
+// start tells a handler to go on. A slot granted to a request whose handler is
+// gone is given back.
+func (d *queueDuty) start(id string) {
+	if d.waiters[id] == nil {
+		d.carryOut(slices.Clone(d.queue.Cancel(time.Now(), id)))
+		return
+	}
+	d.tell(id, verdict{start: true})
+}
+
 // tell gives a verdict; a handler takes each before the next can come.
 func (d *queueDuty) tell(id string, v verdict) {
 	if w := d.waiters[id]; w != nil {
@@ -130,7 +141,9 @@
 func (d *queueDuty) finish(id string, outcome flow.Outcome) {
 	d.put(func(q *flow.Queue, now time.Time) []flow.Action {
 		delete(d.waiters, id)
-		return q.Finish(now, id, outcome)
+		// A preemption may have put it back to waiting meanwhile.
+		actions := slices.Clone(q.Finish(now, id, outcome))
+		return append(actions, q.Cancel(now, id)...)
 	})
 }
 
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -18,8 +18,13 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
 
-// loadWait bounds the time to ask the queue for its figures.
-const loadWait = 50 * time.Millisecond
+const (
+	// loadWait bounds the time to ask the queue for its figures.
+	loadWait = 50 * time.Millisecond
+	// lateMoveShare is the part of the patience after which a waiting request
+	// is handed back to its router once.
+	lateMoveShare = 2
+)
 
 // Handler serves requests under dispatch.PathPrefix and the AgentService.
 func (a *Agent) Handler() http.Handler {
@@ -143,30 +148,53 @@
 // flowRequest describes the attempt to the queue.
 func (t *attempt) flowRequest() flow.Request {
 	return flow.Request{
-		ID:                  t.key,
-		Tier:                int(t.class.Tier),
-		Class:               t.class.Name,
-		Workspace:           t.meta.Workspace,
-		Share:               t.share,
-		Arrived:             t.received,
-		StartBy:             t.received.Add(t.meta.Patience),
-		Deadline:            t.received.Add(t.meta.Budget),
-		Bytes:               len(t.call.Body),
-		Preemptible:         !t.meta.Protected,
+		ID:          t.key,
+		Tier:        int(t.class.Tier),
+		Class:       t.class.Name,
+		Workspace:   t.meta.Workspace,
+		Share:       t.share,
+		Arrived:     t.arrived(),
+		StartBy:     t.received.Add(t.meta.Patience),
+		Deadline:    t.received.Add(t.meta.Budget),
+		Bytes:       len(t.call.Body),
+		Preemptible: !t.meta.Protected,
+
+		PreemptibleAfterToken: t.meta.Resumable,
+		Resumable:             t.meta.Resumable,
+
 		MayMove:             t.meta.MayMove,
 		FirstTokenTarget:    time.Duration(t.class.FirstTokenTarget),
 		BetweenTokensTarget: time.Duration(t.class.BetweenTokensTarget),
 	}
 }
 
+// arrived is when the caller's request came to its router: a request that was
+// moved keeps its place. The two hosts' clocks play no part in it.
+func (t *attempt) arrived() time.Time {
+	elapsed := time.Duration(t.class.Deadline) - t.meta.Budget
+	return t.received.Add(-max(elapsed, 0))
+}
+
+// lateMove returns a channel that delivers once the request has waited so long
+// that a second look at the candidates pays; nil if it may not be moved.
+func (t *attempt) lateMove() <-chan time.Time {
+	if !t.meta.LateMove {
+		return nil
+	}
+	return time.After(t.meta.Patience / lateMoveShare)
+}
+
 // await waits for the queue's verdict. A nil refusal means start.
-func (a *Agent) await(ctx context.Context, t *attempt) *dispatch.Refusal {
+func (a *Agent) await(ctx context.Context, t *attempt, late <-chan time.Time) *dispatch.Refusal {
 	select {
 	case v := <-t.waiter.verdicts:
 		if v.start {
 			return nil
 		}
 		return fromQueue(v.refusal)
+	case <-late:
+		a.queue.cancel(t.key)
+		return notRun(dispatch.Busy, http.StatusTooManyRequests, "waited for half of its patience here")
 	case <-ctx.Done():
 		a.queue.cancel(t.key)
 		return notRun(dispatch.DeadlineExceeded, http.StatusGatewayTimeout, "caller gone or deadline passed before the start")
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -37,8 +37,11 @@
 	// PreemptibleAfterToken extends Preemptible to the whole run, for an
 	// answer that is buffered or that the engine can resume.
 	PreemptibleAfterToken bool
-	FirstTokenTarget      time.Duration // 0: none
-	BetweenTokensTarget   time.Duration // 0: none
+	// Resumable says that a preempted answer goes on from the tokens sent, here
+	// or elsewhere: a preemption throws no work away.
+	Resumable           bool
+	FirstTokenTarget    time.Duration // 0: none
+	BetweenTokensTarget time.Duration // 0: none
 	// MayMove is for a first attempt with other candidates: the request is
 	// refused with Busy, for the router to try one of them, once it has waited
 	// half of the time to its target. Set on a later attempt as well, it leaves
--- a/internal/flow/preempt.go
+++ b/internal/flow/preempt.go
@@ -52,6 +52,7 @@
 // tier below the given one, the one that started last; nil if there is none.
 // lost bounds how long it has run for each tier of distance, 0 for no bound; a
 // request of another tier is never taken in place of one that has run too long.
+// A resumable request loses nothing.
 func (q *Queue) preemptible(now time.Time, above int, lost time.Duration) *item {
 	var best *item
 	for _, it := range q.running {
@@ -62,7 +63,7 @@
 			best = it
 		}
 	}
-	if best != nil && lost > 0 && now.Sub(best.startedAt) > lost*time.Duration(best.Tier-above) {
+	if best != nil && lost > 0 && !best.Resumable && now.Sub(best.startedAt) > lost*time.Duration(best.Tier-above) {
 		return nil
 	}
 	return best
@@ -75,8 +76,17 @@
 	return a.ID < b.ID
 }
 
+// restartBy is when a preempted request must have started again. A stream that
+// has begun has met its patience: its deadline is what is left.
+func (it *item) restartBy() time.Time {
+	if it.Resumable && !it.tokenAt.IsZero() {
+		return it.Deadline
+	}
+	return it.StartBy
+}
+
 // mayPreempt says that a running request can still be stopped and wait again.
 func (q *Queue) mayPreempt(now time.Time, it *item) bool {
 	return it.Preemptible && !it.shielded && (it.tokenAt.IsZero() || it.PreemptibleAfterToken) &&
-		it.preemptions < q.config.MaxPreemptions && it.StartBy.After(now)
+		it.preemptions < q.config.MaxPreemptions && it.restartBy().After(now)
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -23,7 +23,8 @@
 	number   uint32
 	choice   choice
 	body     []byte
-	tried    []string
+	hops     int  // attempts before this one
+	lateMove bool // the agent may hand it back at half of its patience
 	resumes  bool // continues a stream that has begun
 	notAfter int64
 }
@@ -65,7 +66,7 @@
 }
 
 // routingRequest describes a query to the routing table.
-func (q *query) routingRequest(tried []string) routing.Request {
+func (q *query) routingRequest(w *walk) routing.Request {
 	return routing.Request{
 		Workspace: q.workspace.Name,
 		Target:    q.target,
@@ -74,13 +75,14 @@
 		Tier:      int(q.class.Tier),
 		Prefix:    q.prefix(),
 		Bytes:     len(q.body),
-		Tried:     tried,
+		Tried:     w.tried,
+		Busy:      w.busy,
 	}
 }
 
 // choose picks an endpoint and logs why.
-func (rt *Router) choose(q *query, tried []string) (choice, *dispatch.Refusal) {
-	picked, err := rt.picker.choose(q.routingRequest(tried))
+func (rt *Router) choose(q *query, w *walk) (choice, *dispatch.Refusal) {
+	picked, err := rt.picker.choose(q.routingRequest(w))
 	if err != nil {
 		refused := refusal(dispatch.NoEndpoint, http.StatusServiceUnavailable, err.Error())
 		refused.RetryAfter = time.Second
@@ -89,7 +91,7 @@
 	rt.logger.Info("route",
 		"request", q.id, "workspace", q.workspace.Name, "class", q.class.Name, "tier", int(q.class.Tier),
 		"target", q.target, "endpoint", picked.endpoint.GetName(), "incarnation", picked.endpoint.GetIncarnation(),
-		"reason", picked.reason, "candidates", picked.candidates, "hop", len(tried))
+		"reason", picked.reason, "candidates", picked.candidates, "hop", w.hops)
 	return picked, nil
 }
 
@@ -130,7 +132,9 @@
 		Budget:      max(time.Until(t.query.deadline()), 0),
 		Patience:    t.patience(),
 		Revision:    t.query.state.Revision,
-		Hops:        len(t.tried),
+		Hops:        t.hops,
+		LateMove:    t.lateMove,
+		Resumable:   t.query.stream && !t.query.protected && continuable(t.query.parsed),
 		MayMove:     t.choice.mayMove,
 		NotAfter:    t.notAfter,
 	}
--- a/internal/router/ordinary.go
+++ b/internal/router/ordinary.go
@@ -44,11 +44,13 @@
 	router  *Router
 	query   *query
 	writer  http.ResponseWriter
-	tried   []string
+	walk    walk
 	number  uint32
 	ran     bool // an earlier attempt may have run
 	stream  *transcript
 	refused *dispatch.Refusal // the newest refusal
+	// handedBack says that the newest attempt may go to its endpoint again.
+	handedBack bool
 }
 
 // serveOrdinary answers a request that may be tried again.
@@ -56,8 +58,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline())
 	defer cancel()
 	j := &journey{router: rt, query: q, writer: w}
-	for len(j.tried) < maxHops {
-		picked, refused := rt.choose(q, j.tried)
+	for j.walk.hops < maxHops {
+		picked, refused := rt.choose(q, &j.walk)
 		if refused != nil {
 			j.noEndpoint(refused)
 			break
@@ -83,13 +85,15 @@
 func (j *journey) try(ctx context.Context, picked choice) (ended bool) {
 	j.number++
 	name := picked.endpoint.GetName()
-	j.tried = append(j.tried, name)
-	t := &attempt{query: j.query, number: j.number, choice: picked, body: j.query.body, tried: j.tried}
+	t := &attempt{query: j.query, number: j.number, choice: picked, body: j.query.body, hops: j.walk.hops}
+	t.lateMove = j.walk.takeLateMove(picked)
 	if j.stream != nil {
 		t.resumes = true
 		t.body, _ = j.stream.resumeBody(j.query)
 	}
 	result, ended := j.exchange(ctx, t)
+	j.walk.leave(name, j.handedBack)
+	j.handedBack = false
 	j.router.picker.finished(name, int(j.query.class.Tier), result)
 	return ended
 }
@@ -122,12 +126,13 @@
 // refusedBy takes an agent's refusal: walk on, or end here.
 func (j *journey) refusedBy(t *attempt, refused *dispatch.Refusal) (routing.Result, bool) {
 	j.router.logger.Info("agent refused", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(),
-		"type", refused.Type, "execution", refused.Execution, "hop", len(j.tried))
+		"type", refused.Type, "execution", refused.Execution, "hop", t.hops)
 	result := routing.Refused
 	if refused.Type == dispatch.EndpointFailed || refused.Type == dispatch.EndpointUnreadable {
 		result = routing.Failed
 	}
-	if j.refused == nil || refused.Type != dispatch.Busy {
+	j.handedBack = refused.Type == dispatch.Busy
+	if j.refused == nil || !j.handedBack {
 		j.refused = refused
 	}
 	if moves(refused) {
@@ -149,7 +154,7 @@
 		return routing.Cancelled, false
 	}
 	refused := &dispatch.Refusal{Type: dispatch.EndpointFailed, Status: http.StatusBadGateway, Execution: dispatch.Unknown, Message: err.Error()}
-	j.router.logger.Warn("attempt failed", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(), "error", err, "hop", len(j.tried))
+	j.router.logger.Warn("attempt failed", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(), "error", err, "hop", t.hops)
 	return routing.Failed, !j.retry(t, refused)
 }
 
--- a/internal/router/path_test.go
+++ b/internal/router/path_test.go
@@ -23,6 +23,7 @@
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/internal/agent"
+	"github.com/trefoilkeel/trefoilkeel/internal/flow"
 	"github.com/trefoilkeel/trefoilkeel/internal/router"
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
@@ -41,6 +42,7 @@
 	router    *router.Router
 	url       string
 	ledger    *fakeLedger
+	flow      flow.Config // of the agents that are added
 	stops     []func()
 }
 
@@ -53,8 +55,10 @@
 }
 
 // newPath starts n engines and two doors to one plain service.
-func newPath(n int) *path {
-	p := &path{state: testState(), agents: map[string]*agent.Agent{}, ledger: &fakeLedger{claims: map[string]*trefoilkeelv1.ClaimResponse{}}}
+func newPath(n int) *path { return newPathWith(n, flow.Config{}) }
+
+func newPathWith(n int, config flow.Config) *path {
+	p := &path{flow: config, state: testState(), agents: map[string]*agent.Agent{}, ledger: &fakeLedger{claims: map[string]*trefoilkeelv1.ClaimResponse{}}}
 	for i := range n {
 		e := standin.NewEngine(standin.EngineConfig{Name: "engine", StepBase: time.Millisecond, StepPerSequence: time.Microsecond, PrefillPerByte: time.Nanosecond})
 		p.engines = append(p.engines, e)
@@ -86,7 +90,7 @@
 	base, err := url.Parse(endpointURL)
 	Expect(err).NotTo(HaveOccurred())
 	e := &trefoilkeelv1.Endpoint{Name: name, Incarnation: 1, Group: group, Kind: kind, FailureDomain: "a", State: trefoilkeelv1.EndpointState_ENDPOINT_STATE_ACTIVE, Models: []string{serves}}
-	a := agent.New(agent.Options{Endpoint: e, EndpointURL: base, Configuration: p, MaxBody: 1 << 20, Logger: slog.New(slog.DiscardHandler)})
+	a := agent.New(agent.Options{Endpoint: e, EndpointURL: base, Configuration: p, Flow: p.flow, MaxBody: 1 << 20, Logger: slog.New(slog.DiscardHandler)})
 	a.SetIncarnation(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stops = append(p.stops, cancel)
@@ -125,12 +129,13 @@
 		Classes: []ticket.Class{
 			{Name: "questions", Tier: 2, FirstTokenTarget: ticket.Duration(time.Second), BetweenTokensTarget: ticket.Duration(100 * time.Millisecond), Deadline: long, Patience: ticket.Duration(10 * time.Second)},
 			{Name: "bookings", Tier: 2, FirstTokenTarget: ticket.Duration(time.Second), BetweenTokensTarget: ticket.Duration(100 * time.Millisecond), Deadline: long, Patience: ticket.Duration(10 * time.Second), NonIdempotent: true},
+			{Name: "urgent", Tier: 1, FirstTokenTarget: ticket.Duration(300 * time.Millisecond), BetweenTokensTarget: ticket.Duration(100 * time.Millisecond), Deadline: long, Patience: ticket.Duration(10 * time.Second)},
 			{Name: "staff", Tier: 1, FirstTokenTarget: ticket.Duration(time.Second), BetweenTokensTarget: ticket.Duration(100 * time.Millisecond), Deadline: long, Patience: ticket.Duration(10 * time.Second)},
 		},
 		Models:   []ticket.Model{{Name: "advice", MaxOutputTokens: 4096}},
 		Services: []ticket.Service{{Name: "entries", NonIdempotent: true, Class: "bookings"}},
 		Workspaces: []ticket.Workspace{
-			{Name: "riders", KeyHashes: []string{hex.EncodeToString(hash[:])}, Classes: []string{"questions", "bookings"}, DefaultClass: "questions", Share: 1},
+			{Name: "riders", KeyHashes: []string{hex.EncodeToString(hash[:])}, Classes: []string{"questions", "bookings", "urgent"}, DefaultClass: "questions", Share: 1},
 			{Name: "staff", KeyHashes: []string{strings.Repeat("ab", 32)}, Classes: []string{"staff"}, DefaultClass: "staff", Share: 1},
 		},
 		EndpointGroups: []ticket.EndpointGroup{
--- a/internal/router/protected.go
+++ b/internal/router/protected.go
@@ -31,7 +31,7 @@
 type errand struct {
 	router *Router
 	query  *query
-	tried  []string
+	walk   walk
 	after  uint32 // attempt that is known not to have run, 0 for none
 }
 
@@ -70,8 +70,8 @@
 
 // run goes on until the request has an answer, a refusal, or no time left.
 func (e *errand) run(ctx context.Context) outcome {
-	for ctx.Err() == nil && len(e.tried) < maxHops {
-		picked, refused := e.router.choose(e.query, e.tried)
+	for ctx.Err() == nil && e.walk.hops < maxHops {
+		picked, refused := e.router.choose(e.query, &e.walk)
 		if refused != nil {
 			return e.withoutEndpoint(ctx, refused)
 		}
@@ -127,10 +127,10 @@
 // dispatch makes the one attempt that the claim grants.
 func (e *errand) dispatch(ctx context.Context, picked choice, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
 	q, holder := e.query, heldBy(claim)
-	e.tried = append(e.tried, picked.endpoint.GetName())
-	t := &attempt{query: q, number: holder.attempt, choice: picked, body: q.body, tried: e.tried}
+	t := &attempt{query: q, number: holder.attempt, choice: picked, body: q.body, hops: e.walk.hops}
 	t.notAfter = time.Now().Add(startWindow).UnixMilli()
 	answer, refused, err := e.exchange(ctx, t)
+	e.walk.leave(picked.endpoint.GetName(), refused != nil && refused.Type == dispatch.Busy)
 	tier, name := int(q.class.Tier), picked.endpoint.GetName()
 	switch {
 	case err != nil:
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -53,12 +53,28 @@
 		return j.callerLeft(ctx)
 	}
 	broken := &BrokenAnswerError{Endpoint: t.choice.endpoint.GetName(), Cause: err}
+	if j.givenBack(response) {
+		return routing.Refused, false
+	}
 	if !j.stream.resumable(j.query) {
 		return j.unresumable(t, broken)
 	}
 	return j.failed(ctx, t, broken)
 }
 
+// givenBack reports whether the agent preempted the stream, which goes on at
+// another endpoint then. That is the system's own doing and no failure, so it
+// costs nothing of the retry budget.
+func (j *journey) givenBack(response *http.Response) bool {
+	if response.Trailer.Get(dispatch.HeaderOutcome) != dispatch.GivenBack || !j.stream.resumable(j.query) {
+		return false
+	}
+	j.handedBack = true
+	j.ran = true
+	j.router.logger.Info("given back", "request", j.query.id, "class", j.query.class.Name, "events", j.stream.events)
+	return true
+}
+
 // streamHead sends the head of the first stream.
 func (j *journey) streamHead(response *http.Response) {
 	h := j.writer.Header()
