Secure a whole system over mutual TLS

Cause: no test ran processes over TLS. The callers' listener took over the mutual configuration, so with tls.ca set it refused every caller without a client certificate (the new test then fails with 'certificate required'), though callers are authenticated by their keys. The URLs that a process reports of itself always said http. Change: the callers' listener asks for no certificate; reported URLs carry https under TLS. A test makes two authorities, runs control, router and agent as processes of their own over mutual TLS, submits a ticket by token and asks a question. Before and after: the test fails before, passes after. Control and agent refuse no certificate and one of another authority. Conclusion: mutual TLS between processes and keys for callers work together.

--- a/internal/daemon/administration.go
+++ b/internal/daemon/administration.go
@@ -85,13 +85,21 @@
 }
 
 // RouterURL is the base URL for callers, "" without the role.
-func (d *Daemon) RouterURL() string { return listenURL(d.router.socket()) }
+func (d *Daemon) RouterURL() string { return d.baseURL(d.router.socket()) }
 
 // ControlURL is the base URL of the control role, "" without it.
-func (d *Daemon) ControlURL() string { return listenURL(d.control.socket()) }
+func (d *Daemon) ControlURL() string { return d.baseURL(d.control.socket()) }
 
 // AdministrationURL is the base URL of health and metrics, "" without it.
-func (d *Daemon) AdministrationURL() string { return listenURL(d.administration) }
+func (d *Daemon) AdministrationURL() string { return d.baseURL(d.administration) }
+
+// baseURL is the URL of a listener, "" without one.
+func (d *Daemon) baseURL(l net.Listener) string {
+	if l == nil || d.options.TLS == nil {
+		return listenURL(l)
+	}
+	return "https://" + l.Addr().String()
+}
 
 // listenURL is the URL of a listener without TLS.
 func listenURL(l net.Listener) string {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -83,7 +83,7 @@
 func (r *routerRole) run(ctx context.Context) error {
 	server := &http.Server{
 		Handler:           r.router.Handler(),
-		TLSConfig:         r.daemon.options.TLS.Clone(),
+		TLSConfig:         callerTLS(r.daemon.options.TLS),
 		ReadHeaderTimeout: callerHeaderTimeout,
 		ReadTimeout:       callerReadTimeout,
 		IdleTimeout:       callerIdleTimeout,
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -63,6 +63,18 @@
 	return config, nil
 }
 
+// callerTLS is the configuration of the callers' listener. Callers show a key,
+// not a certificate.
+func callerTLS(config *tls.Config) *tls.Config {
+	if config == nil {
+		return nil
+	}
+	callers := config.Clone()
+	callers.ClientAuth = tls.NoClientCert
+	callers.ClientCAs = nil
+	return callers
+}
+
 // loadCA reads the certificates that sign the peers'.
 func loadCA(file string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(file)
--- /dev/null
+++ b/internal/daemon/tls_test.go
@@ -0,0 +1,229 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
+	"github.com/trefoilkeel/trefoilkeel/internal/settings"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+const operatorToken = "desk-token"
+
+// authority signs certificates into a folder.
+type authority struct {
+	folder string
+	cert   *x509.Certificate
+	key    *ecdsa.PrivateKey
+}
+
+func newAuthority() *authority {
+	GinkgoHelper()
+	a := &authority{folder: GinkgoT().TempDir()}
+	a.cert, a.key = a.sign("ca", &x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign})
+	return a
+}
+
+// sign writes NAME.pem and NAME.key; the authority signs itself first.
+func (a *authority) sign(name string, template *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+	GinkgoHelper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template.Subject = pkix.Name{CommonName: name}
+	template.SerialNumber = big.NewInt(time.Now().UnixNano())
+	template.NotBefore, template.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
+	Expect(err).NotTo(HaveOccurred())
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	a.write(name+".pem", "CERTIFICATE", der)
+	a.write(name+".key", "PRIVATE KEY", private)
+	cert, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	return cert, key
+}
+
+func (a *authority) write(file, kind string, der []byte) {
+	GinkgoHelper()
+	Expect(os.WriteFile(filepath.Join(a.folder, file), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(Succeed())
+}
+
+// issue signs a certificate for a process on loopback.
+func (a *authority) issue(name string) settings.TLS {
+	GinkgoHelper()
+	a.sign(name, &x509.Certificate{
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	file := func(name string) string { return filepath.Join(a.folder, name) }
+	return settings.TLS{Certificate: file(name + ".pem"), Key: file(name + ".key"), CA: file("ca.pem")}
+}
+
+func (a *authority) config(name string) *tls.Config {
+	GinkgoHelper()
+	config, err := daemon.LoadTLS(a.issue(name))
+	Expect(err).NotTo(HaveOccurred())
+	return config
+}
+
+// start runs one process until the spec ends. Processes stop in reverse order.
+func (a *authority) start(name string, set func(*settings.Settings)) *daemon.Daemon {
+	GinkgoHelper()
+	s := &settings.Settings{Process: settings.Process{Name: name, Host: "local", FailureDomain: "local", LogLevel: "error", StopTimeout: settings.Duration(10 * time.Second)}}
+	set(s)
+	d, err := daemon.New(daemon.Options{Settings: s, Logger: slog.New(slog.DiscardHandler), TLS: a.config(name)})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+	return d
+}
+
+// secured is a system over mutual TLS: one control host, agent and router.
+type secured struct {
+	authority *authority
+	control   *daemon.Daemon
+	router    *daemon.Daemon
+	admin     trefoilkeelv1connect.AdminServiceClient
+}
+
+func newSecured() *secured {
+	GinkgoHelper()
+	standins, endpoints, err := daemon.StartStandins()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(standins.Stop)
+	s := &secured{authority: newAuthority()}
+	hash := sha256.Sum256([]byte(operatorToken))
+	s.control = s.authority.start("control-1", func(c *settings.Settings) {
+		c.Process.DataFolder = GinkgoT().TempDir()
+		c.Control = &settings.Control{ID: 1, Listen: "127.0.0.1:0", URL: "https://127.0.0.1:0", ClusterID: "secured", Bootstrap: true,
+			Members: []settings.Member{{ID: 1, URL: "https://127.0.0.1:0"}},
+			Tokens:  []settings.Token{{Name: "desk", Hash: hex.EncodeToString(hash[:]), Roles: []string{"submit", "read"}}}}
+	})
+	directory := settings.Directory{ControlURLs: []string{s.control.ControlURL()}}
+	s.router = s.authority.start("router-1", func(c *settings.Settings) {
+		c.Directory = directory
+		c.Router = &settings.Router{Listen: "127.0.0.1:0", MaxBody: 1 << 20, MaxConnections: 100}
+	})
+	s.authority.start("agent-1", func(c *settings.Settings) {
+		c.Directory = directory
+		c.Agents = []settings.Agent{{Endpoint: endpoints[0].Name, Group: endpoints[0].Group, Kind: endpoints[0].Kind, Listen: "127.0.0.1:0", URL: "https://127.0.0.1:0",
+			EndpointURL: endpoints[0].URL, Models: endpoints[0].Models, Slots: 4, MaxSlots: 4, MaxBody: 1 << 20}}
+	})
+	s.admin = trefoilkeelv1connect.NewAdminServiceClient(rpc.Client(s.authority.config("desk")), s.control.ControlURL())
+	return s
+}
+
+// submit sends the first ticket under the token.
+func (s *secured) submit(ctx context.Context, token string) (*connect.Response[trefoilkeelv1.SubmitTicketResponse], error) {
+	GinkgoHelper()
+	text, err := os.ReadFile("../../examples/rally/ticket-001.toml")
+	Expect(err).NotTo(HaveOccurred())
+	t, err := ticket.DecodeTOML(text)
+	Expect(err).NotTo(HaveOccurred())
+	t.Author = "desk"
+	encoded, err := ticket.Encode(t)
+	Expect(err).NotTo(HaveOccurred())
+	request := connect.NewRequest(&trefoilkeelv1.SubmitTicketRequest{Ticket: encoded})
+	request.Header().Set("Authorization", "Bearer "+token)
+	return s.admin.SubmitTicket(ctx, request)
+}
+
+// agentURL is what the agent has announced, "" before that.
+func (s *secured) agentURL(ctx context.Context) string {
+	request := connect.NewRequest(&trefoilkeelv1.StatusRequest{})
+	request.Header().Set("Authorization", "Bearer "+operatorToken)
+	response, err := s.admin.Status(ctx, request)
+	if err != nil || len(response.Msg.GetEndpoints()) == 0 {
+		return ""
+	}
+	return response.Msg.GetEndpoints()[0].GetAgentUrl()
+}
+
+// handshake connects and returns what the server makes of the client.
+func handshake(base string, config *tls.Config) error {
+	conn, err := tls.Dial("tcp", strings.TrimPrefix(base, "https://"), config)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	_, err = conn.Read(make([]byte, 1)) // an alert comes before any data
+	return err
+}
+
+// askSecured sends one question as a caller without a certificate.
+func (s *secured) askSecured() int {
+	pool := x509.NewCertPool()
+	pool.AddCert(s.authority.cert)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true}
+	body := []byte(`{"model":"rally-text","max_tokens":4,"messages":[{"role":"user","content":"open?"}]}`)
+	request, err := http.NewRequest(http.MethodPost, s.router.RouterURL()+"/v1/chat/completions", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+riderKey)
+	response, err := transport.RoundTrip(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode
+}
+
+var _ = Describe("a system over mutual TLS", func() {
+	It("answers callers that have a key, and refuses processes without its CA's certificate", func(ctx SpecContext) {
+		s := newSecured()
+		Eventually(func() string { return s.agentURL(ctx) }, "20s").Should(HavePrefix("https://"))
+		_, err := s.submit(ctx, "other")
+		Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnauthenticated))
+		response, err := s.submit(ctx, operatorToken)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Msg.GetVerdict()).To(Equal(trefoilkeelv1.Verdict_VERDICT_ACCEPTED), response.Msg.String())
+		Eventually(s.askSecured, "20s").Should(Equal(http.StatusOK))
+
+		pool := x509.NewCertPool()
+		pool.AddCert(s.authority.cert)
+		stranger := newAuthority().config("stranger")
+		stranger.RootCAs = pool
+		// The stranger shows its certificate whatever authorities the server names.
+		for name, base := range map[string]string{"control": s.control.ControlURL(), "agent": s.agentURL(ctx)} {
+			Expect(handshake(base, &tls.Config{RootCAs: pool})).To(MatchError(ContainSubstring("certificate required")), name)
+			Expect(handshake(base, stranger)).To(MatchError(ContainSubstring("remote error: tls")), name)
+			Expect(handshake(base, newAuthority().config("other"))).To(MatchError(ContainSubstring("unknown authority")), name)
+		}
+	}, NodeTimeout(time.Minute))
+})
