Test the taking up of new certificates

Cause: the reload of certificates had no test. Conclusion: a certificate can be replaced without a restart, and a half-written pair does no harm until it is whole.

--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -12,6 +12,7 @@
 	"crypto/x509/pkix"
 	"encoding/hex"
 	"encoding/pem"
+	"errors"
 	"io"
 	"log/slog"
 	"math/big"
@@ -227,3 +228,50 @@
 		}
 	}, NodeTimeout(time.Minute))
 })
+
+var _ = Describe("the certificate in use", func() {
+	It("is taken from new files once it is old enough, and kept while they are broken", func() {
+		a := newAuthority()
+		files := a.issue("process")
+		now := time.Unix(1_800_000_000, 0)
+		get := daemon.CertificateSource(files, func() time.Time { return now })
+		read := func() []byte {
+			GinkgoHelper()
+			c, err := get()
+			Expect(err).NotTo(HaveOccurred())
+			return c.Certificate[0]
+		}
+		first := read()
+		a.issue("process")
+		now = now.Add(daemon.CertificateAge - 1)
+		Expect(read()).To(Equal(first))
+		now = now.Add(1)
+		second := read()
+		Expect(second).NotTo(Equal(first))
+
+		for _, broken := range []string{"", "no certificate", "-----BEGIN CERTIFICATE-----\nAA==\n-----END CERTIFICATE-----\n"} {
+			Expect(os.WriteFile(files.Certificate, []byte(broken), 0o600)).To(Succeed())
+			now = now.Add(daemon.CertificateAge)
+			Expect(read()).To(Equal(second))
+		}
+		key, err := os.ReadFile(files.Key)
+		Expect(err).NotTo(HaveOccurred())
+		a.issue("process") // a new certificate beside the old key
+		Expect(os.WriteFile(files.Key, key, 0o600)).To(Succeed())
+		now = now.Add(daemon.CertificateAge)
+		Expect(read()).To(Equal(second))
+
+		a.issue("process")
+		now = now.Add(daemon.CertificateAge)
+		Expect(read()).NotTo(Equal(second))
+	})
+
+	It("must be readable at the start", func() {
+		files := newAuthority().issue("process")
+		Expect(os.WriteFile(files.Key, nil, 0o600)).To(Succeed())
+		_, err := daemon.LoadTLS(files)
+		var fault *daemon.TLSError
+		Expect(errors.As(err, &fault)).To(BeTrue())
+		Expect(fault.File).To(Equal(files.Certificate))
+	})
+})
