Test that workspaces are isolated

Cause: no test had two workspaces with the same rights, nor a model or service that the caller's endpoint groups don't serve.

--- a/internal/router/ordinary_test.go
+++ b/internal/router/ordinary_test.go
@@ -127,6 +127,8 @@
 		Entry("no model", ask{path: "/v1/chat/completions", body: `{}`}, 400, "invalid_request"),
 		Entry("unknown model", ask{path: "/v1/completions", body: `{"model":"other","prompt":"x"}`}, 404, "unknown_model"),
 		Entry("unknown service", ask{path: "/services/other/x", body: "x"}, 404, "unknown_service"),
+		Entry("a model of another workspace", ask{path: "/v1/completions", body: `{"model":"staff-advice","prompt":"x"}`}, 404, "unknown_model"),
+		Entry("a service of another workspace", ask{path: "/services/payroll/x", body: "x"}, 404, "unknown_service"),
 		Entry("unknown path", ask{path: "/v2/x", body: "x"}, 404, "invalid_request"),
 		Entry("unknown class", ask{path: "/v1/completions", body: `{"model":"advice"}`, header: map[string]string{"Trefoilkeel-Class": "vip"}}, 400, "unknown_class"),
 		Entry("a class of another workspace", ask{path: "/v1/completions", body: `{"model":"advice"}`, header: map[string]string{"Trefoilkeel-Class": "staff"}}, 403, "forbidden"),
--- a/internal/router/path_test.go
+++ b/internal/router/path_test.go
@@ -28,7 +28,10 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
 
-const testKey = "demo-riders-key"
+const (
+	testKey = "demo-riders-key"
+	clubKey = "demo-club-key" // of a workspace with the riders' rights
+)
 
 // path is a router, agents and stand-ins joined over loopback.
 type path struct {
@@ -118,7 +121,7 @@
 }
 
 func testState() *ticket.State {
-	hash := sha256.Sum256([]byte(testKey))
+	hash, clubHash := sha256.Sum256([]byte(testKey)), sha256.Sum256([]byte(clubKey))
 	long := ticket.Duration(20 * time.Second)
 	state, faults := ticket.Apply(ticket.NewState(), &ticket.Ticket{
 		Number: 1, Author: "test", Summary: "test",
@@ -127,15 +130,17 @@
 			{Name: "bookings", Tier: 2, FirstTokenTarget: ticket.Duration(time.Second), BetweenTokensTarget: ticket.Duration(100 * time.Millisecond), Deadline: long, Patience: ticket.Duration(10 * time.Second), NonIdempotent: true},
 			{Name: "staff", Tier: 1, FirstTokenTarget: ticket.Duration(time.Second), BetweenTokensTarget: ticket.Duration(100 * time.Millisecond), Deadline: long, Patience: ticket.Duration(10 * time.Second)},
 		},
-		Models:   []ticket.Model{{Name: "advice", MaxOutputTokens: 4096}},
-		Services: []ticket.Service{{Name: "entries", NonIdempotent: true, Class: "bookings"}},
+		Models:   []ticket.Model{{Name: "advice", MaxOutputTokens: 4096}, {Name: "staff-advice", MaxOutputTokens: 4096}},
+		Services: []ticket.Service{{Name: "entries", NonIdempotent: true, Class: "bookings"}, {Name: "payroll"}},
 		Workspaces: []ticket.Workspace{
 			{Name: "riders", KeyHashes: []string{hex.EncodeToString(hash[:])}, Classes: []string{"questions", "bookings"}, DefaultClass: "questions", Share: 1},
+			{Name: "club", KeyHashes: []string{hex.EncodeToString(clubHash[:])}, Classes: []string{"questions", "bookings"}, DefaultClass: "questions", Share: 1},
 			{Name: "staff", KeyHashes: []string{strings.Repeat("ab", 32)}, Classes: []string{"staff"}, DefaultClass: "staff", Share: 1},
 		},
 		EndpointGroups: []ticket.EndpointGroup{
 			{Name: "advice", Workspaces: []string{"*"}, Models: []string{"advice"}},
-			{Name: "entries", Workspaces: []string{"riders"}, Services: []string{"entries"}},
+			{Name: "entries", Workspaces: []string{"riders", "club"}, Services: []string{"entries"}},
+			{Name: "staff", Workspaces: []string{"staff"}, Models: []string{"staff-advice"}, Services: []string{"payroll"}},
 		},
 	})
 	Expect(faults).To(BeEmpty())
