--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,137 @@
+package dispatch_test
+
+import (
+	"flag"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
+func TestCopyHeaders(t *testing.T) {
+	cases := map[string]struct{ from, want http.Header }{
+		"ordinary":      {http.Header{"Accept": {"a", "b"}, "Content-Type": {"c"}}, http.Header{"Accept": {"a", "b"}, "Content-Type": {"c"}}},
+		"own":           {http.Header{"Tk-Request-Id": {"x"}, "Tk-Other": {"x"}, "Trefoilkeel-Execution": {"ran"}}, http.Header{}},
+		"framing":       {http.Header{"Content-Length": {"3"}, "Transfer-Encoding": {"chunked"}, "Trailer": {"X"}, "Te": {"trailers"}, "Expect": {"100-continue"}}, http.Header{}},
+		"connection":    {http.Header{"Keep-Alive": {"1"}, "Upgrade": {"h2c"}, "Proxy-Connection": {"1"}, "Proxy-Authorization": {"x"}}, http.Header{}},
+		"named":         {http.Header{"Connection": {"close, x-one ,", "X-Two"}, "X-One": {"1"}, "X-Two": {"2"}, "X-Three": {"3"}}, http.Header{"X-Three": {"3"}}},
+		"named unknown": {http.Header{"Connection": {" ,,\t, no header"}, "X-One": {"1"}}, http.Header{"X-One": {"1"}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := http.Header{}
+			dispatch.CopyHeaders(got, c.from)
+			g.Expect(got).To(Equal(c.want))
+		})
+	}
+}
+
+var names = []string{"Accept", "X-One", "X-Two", "Te", "Upgrade", "Content-Length", "Tk-Class", "Tk-X", "Trefoilkeel-Execution", "X-Request-Id"}
+
+func TestCopyHeadersProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from := http.Header(rapid.MapOf(rapid.SampledFrom(names), rapid.SliceOfN(rapid.String(), 1, 3)).Draw(t, "from"))
+		named := rapid.SliceOf(rapid.SampledFrom(names)).Draw(t, "named")
+		from["Connection"] = []string{strings.ToLower(strings.Join(named, " , "))}
+		before := from.Clone()
+		got := http.Header{}
+		dispatch.CopyHeaders(got, from)
+		for name, values := range got {
+			if strings.HasPrefix(name, "Tk-") || name == dispatch.HeaderExecution || name == "Connection" || slices.Contains(named, name) {
+				t.Fatalf("%s passed", name)
+			}
+			if !slices.Equal(values, from[name]) {
+				t.Fatalf("%s became %q", name, values)
+			}
+			values[0] += "changed"
+		}
+		if !maps.EqualFunc(before, from, slices.Equal) {
+			t.Fatal("the source changed")
+		}
+		for _, name := range []string{"Accept", "X-One", "X-Two"} {
+			if _, passed := got[name]; from[name] != nil && !passed && !slices.Contains(named, name) {
+				t.Fatalf("%s was lost", name)
+			}
+		}
+	})
+}
+
+func TestMetaRoundTrip(t *testing.T) {
+	text := rapid.StringMatching(`[a-z0-9][a-z0-9.-]{0,40}`)
+	milliseconds := rapid.Custom(func(t *rapid.T) time.Duration {
+		return time.Duration(rapid.Int64Range(0, 1<<40-1).Draw(t, "ms")) * time.Millisecond
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		want := &dispatch.Meta{
+			RequestID: text.Draw(t, "id"), Attempt: rapid.Uint32().Draw(t, "attempt"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+			Workspace: text.Draw(t, "workspace"), Class: text.Draw(t, "class"), Model: text.Draw(t, "model"),
+			Protected: rapid.Bool().Draw(t, "protected"), MayMove: rapid.Bool().Draw(t, "may move"),
+			Budget: milliseconds.Draw(t, "budget"), Patience: milliseconds.Draw(t, "patience"), Revision: rapid.Uint64().Draw(t, "revision"),
+			Hops: rapid.IntRange(0, 1<<31-1).Draw(t, "hops"), NotAfter: rapid.Int64Range(0, 1<<62-1).Draw(t, "not after"),
+		}
+		h := http.Header{}
+		want.Write(h)
+		got, err := dispatch.Read(h)
+		if err != nil || *got != *want {
+			t.Fatalf("%+v became %+v: %v", want, got, err)
+		}
+		// A number or text that is missing or malformed is refused by its name.
+		checked := slices.Sorted(maps.Keys(h))
+		checked = slices.DeleteFunc(checked, func(n string) bool { return n == dispatch.HeaderProtected || n == dispatch.HeaderMayMove })
+		name := rapid.SampledFrom(checked).Draw(t, "broken")
+		h.Del(name)
+		_, err = dispatch.Read(h)
+		fault, ok := err.(*dispatch.HeaderError)
+		if !ok || fault.Header != name {
+			t.Fatalf("%s missing: %v", name, err)
+		}
+	})
+}
+
+func TestRefusalRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := &dispatch.Refusal{
+			Type:       rapid.SampledFrom([]dispatch.RefusalType{dispatch.Overloaded, dispatch.Busy, dispatch.OutcomeUnknown}).Draw(t, "type"),
+			Status:     rapid.IntRange(400, 599).Draw(t, "status"),
+			Execution:  rapid.SampledFrom([]string{dispatch.NotRun, dispatch.Ran, dispatch.Unknown}).Draw(t, "execution"),
+			Message:    rapid.String().Draw(t, "message"),
+			RetryAfter: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "retry after")),
+		}
+		recorder := httptest.NewRecorder()
+		want.Write(recorder)
+		response := recorder.Result()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, ok := dispatch.ReadRefusal(response, body)
+		if !ok {
+			t.Fatalf("not read: %s", body)
+		}
+		// Whole seconds travel: never sooner than said, less than one later.
+		if late := got.RetryAfter - want.RetryAfter; late < 0 || late >= time.Second {
+			t.Fatalf("%v became %v", want.RetryAfter, got.RetryAfter)
+		}
+		got.RetryAfter = want.RetryAfter
+		if *got != *want {
+			t.Fatalf("%+v became %+v", want, got)
+		}
+	})
+	for _, body := range []string{"", "null", "[]", `{"error":"x"}`, `{"error":{}}`, `{"error":{"message":"x"}}`} {
+		if _, ok := dispatch.ReadRefusal(&http.Response{Header: http.Header{}}, []byte(body)); ok {
+			t.Fatalf("%s was read", body)
+		}
+	}
+}
