Admit an emptied host whose settings list only removed hosts

Cause: the histories now also check that a cluster with a quorum of its disks goes on after lost disks and removals; a host with an emptied folder whose settings list only hosts that were removed since asked nobody who could help, and stayed away for good. Change: a host that hears a leader write to the folder it had before asks that leader to be admitted; the reason in the status says that a removed host needs an empty folder.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -212,6 +212,16 @@
 	n.send = append(n.send, m)
 }
 
+// handleStray answers a leader that writes to the data folder this host had
+// before: the settings may list no host that is still a member.
+func (n *Node) handleStray(m Message) {
+	members, _ := n.log.membership()
+	if m.Type != MsgAppend || (n.hard.Formation != 0 && members.isRegistered(n.cfg.ID, n.cfg.Disk)) {
+		return
+	}
+	n.sendNow(Message{Type: MsgJoin, To: m.From, URL: n.cfg.URL})
+}
+
 // handleJoinReply notes that another host has an empty folder, as of a
 // question of this very folder.
 func (n *Node) handleJoinReply(m Message) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -93,7 +93,11 @@
 // folder are ignored.
 func (n *Node) Step(now time.Duration, m Message) {
 	n.now = now
-	if m.To != n.cfg.ID || (m.ToDisk != 0 && m.ToDisk != n.cfg.Disk) {
+	if m.To != n.cfg.ID {
+		return
+	}
+	if m.ToDisk != 0 && m.ToDisk != n.cfg.Disk {
+		n.handleStray(m)
 		return
 	}
 	switch m.Type {
--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -113,9 +113,7 @@
 		"":    func(*rapid.T) { *steps++ },
 		"any": func(t *rapid.T) { actions[uniform(t, len(actions), "action")](t) },
 	})
-	if h.wipes == 0 && !h.removed {
-		h.recover(t)
-	}
+	h.recover(t, h.wipes == 0 && !h.removed)
 	covered.add(h.network)
 }
 
@@ -217,10 +215,31 @@
 	return err == nil
 }
 
-// recover checks that a cluster whose disks are whole goes on once the
-// faults are over, with everything that was acknowledged on every host.
-func (w *network) recover(t *rapid.T) {
+// intact reports whether every membership that any host holds still has a
+// quorum of its registered disks.
+func (w *network) intact() bool {
+	for _, h := range w.hosts {
+		m := h.node.View().Membership
+		count := 0
+		for _, member := range m.Members {
+			if m.isVoter(member.ID, w.hosts[member.ID-1].disk) {
+				count++
+			}
+		}
+		if len(m.Members) > 0 && count < m.quorum() {
+			return false
+		}
+	}
+	return true
+}
+
+// recover checks that a cluster with a quorum of its disks goes on once the
+// faults are over, and, if no disk was ever lost, on every host.
+func (w *network) recover(t *rapid.T, whole bool) {
 	w.mend()
+	if !w.intact() {
+		return
+	}
 	w.run(20 * time.Second)
 	leader := w.holder()
 	if leader == nil {
@@ -231,7 +250,9 @@
 	}
 	w.run(2 * time.Second)
 	for _, m := range leader.node.View().Membership.Members {
-		if h := w.hosts[m.ID-1]; h.applied != leader.applied || h.state != leader.state || !m.Voter {
+		h := w.hosts[m.ID-1]
+		behind := h.applied != leader.applied || h.state != leader.state
+		if behind && (whole || m.Voter) || whole && !m.Voter {
 			t.Fatalf("host %d stays behind at %d of %d", h.id, h.applied, leader.applied)
 		}
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -209,7 +209,7 @@
 	case view.Formation == 0:
 		return "the data folder is empty: waiting to be admitted as a learner"
 	case !view.Registered:
-		return "the data folder is not registered: waiting to be admitted as a learner"
+		return "the data folder is not registered: waiting to be admitted as a learner (a removed host needs an empty folder)"
 	case !view.Voter:
 		return "no leader is known, and this replica is a learner"
 	}
