Run the fuzz targets by count

Cause: the five fuzz targets had no common command. Change: make fuzz runs each with FUZZ inputs, 20000 by default. It is not in the checks, since the inputs differ from run to run and a check gives the same verdict each time; the seed corpora run there as plain tests.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run drill test-long overhead
+.PHONY: build test demo run drill test-long fuzz overhead
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,3 +29,11 @@
 # overhead compares the path with a direct call, in one run.
 overhead:
 	go test ./internal/daemon -run XXX -bench 'FirstByte|RelayedToken|StreamMemory' -benchtime 3x
+
+# fuzz runs each fuzz target with FUZZ inputs. The inputs differ from run to
+# run, so it is no part of the checks; the seed corpora run as plain tests.
+FUZZ ?= 20000
+fuzz:
+	@set -e; grep -rHo --include='*_test.go' '^func Fuzz[A-Za-z0-9]*' internal cmd | sort | while IFS=: read -r file target; do \
+		go test "./$$(dirname $$file)" -run XXX -fuzz "^$${target#func }$$" -fuzztime $(FUZZ)x -fuzzminimizetime 10x -parallel 4; \
+	done
