--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -15,6 +15,7 @@
 	if len(t.fit) == 0 {
 		return t.lastResort(&r, missing)
 	}
+	t.leaveOutSlow(t.betweenTarget(r.Class))
 	own := t.partition()
 	best, score := t.bestOf(t.fit[:own], &r, rand)
 	reason := ReasonBetter
@@ -109,6 +110,22 @@
 	return t.decide(r, best, ReasonEjected)
 }
 
+// leaveOutSlow drops the endpoints whose time between tokens is over the
+// class's target, unless that would leave none. An idle endpoint is kept: its
+// figure is old.
+func (t *Table) leaveOutSlow(target time.Duration) {
+	fast := 0
+	for i, e := range t.fit {
+		if e.load.GetRunning() == 0 || e.tooSlow(target) == 0 {
+			t.fit[fast], t.fit[i] = e, t.fit[fast]
+			fast++
+		}
+	}
+	if fast > 0 {
+		t.fit = t.fit[:fast]
+	}
+}
+
 // partition puts the own failure domain first and returns its size.
 func (t *Table) partition() int {
 	own := 0
