--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run drill test-long overhead
+.PHONY: build test demo run drill test-long overhead capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,3 +29,8 @@
 # overhead compares the path with a direct call, in one run.
 overhead:
 	go test ./internal/daemon -run XXX -bench 'FirstByte|RelayedToken|StreamMemory' -benchtime 3x
+
+# capacity measures the slopes of docs/CAPACITY.md and prints them at the size to
+# design for, in one to two minutes.
+capacity:
+	@cd tools && go run ./capacity ..
