Refuse URLs of processes that don't match the TLS settings

Cause: with a certificate set, a control URL with http:// was taken, and a client built with TLS did call it, in clear text (one trial call to a plain server got its answer). The other way round a client without TLS tries https without the system's CA or certificate. Change: control, member, agent and directory URLs must be https with tls.certificate and http without, by a fault that names the key; endpoint_url is free. Before and after: the two new table entries fail before and pass after; the examples stay good. Conclusion: traffic between processes can't be left unencrypted by a slip in a URL.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -35,6 +35,7 @@
 	c.agents(s)
 	c.directory(s)
 	c.tls(s)
+	c.schemes(s)
 	c.listeners(s)
 	return c.faults
 }
@@ -173,6 +174,32 @@
 	}
 }
 
+// schemes refuses URLs of processes that don't go with the TLS settings: a
+// process speaks TLS to all others or to none.
+func (c *checker) schemes(s *Settings) {
+	scheme := "http"
+	if s.TLS.Certificate != "" {
+		scheme = "https"
+	}
+	check := func(key, value string) {
+		u, err := url.Parse(value)
+		other := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Scheme != scheme
+		c.require(!other, key, "must begin with "+scheme+":// as [tls] is set up, not "+strconv.Quote(value))
+	}
+	if s.Control != nil {
+		check("control.url", s.Control.URL)
+		for i, m := range s.Control.Members {
+			check("control.member["+strconv.Itoa(i)+"].url", m.URL)
+		}
+	}
+	for i, a := range s.Agents {
+		check("agent["+strconv.Itoa(i)+"].url", a.URL)
+	}
+	for i, u := range s.Directory.ControlURLs {
+		check("directory.control_urls["+strconv.Itoa(i)+"]", u)
+	}
+}
+
 // listeners refuses an unauthenticated listener off loopback. Callers are
 // authenticated by their keys, so the router's listener needs a certificate only.
 func (c *checker) listeners(s *Settings) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,6 +83,9 @@
 		Entry("more slots than the bound", process+agentText+"slots = 9000\n"+directory, "agent[0].slots"),
 		Entry("control without a folder, members and a good token", process+"[control]\nid = 0\nlisten = \"x\"\nurl = \"y\"\n[[control.token]]\nname = \"\"\nhash = \"abc\"\nroles = [\"root\"]\n",
 			"process.data_folder", "control.id", "control.listen", "control.url", "control.member", "control.token[0].name", "control.token[0].hash", "control.token[0].roles"),
+		Entry("https without a certificate", process+strings.Replace(agentText, "url = \"http:", "url = \"https:", 1)+strings.Replace(directory, "http:", "https:", 1), "agent[0].url", "directory.control_urls[0]"),
+		Entry("http beside a certificate", process+agentText+directory+"[control]\nurl = \"http://127.0.0.1:1\"\n[[control.member]]\nid = 1\nurl = \"http://127.0.0.1:1\"\n[tls]\ncertificate = \"c\"\n",
+			"agent[0].url", "directory.control_urls[0]", "control.url", "control.member[0].url"),
 		Entry("a certificate without its key, missing", process+agentText+directory+"[tls]\ncertificate = \"/nonexistent\"\n", "tls", "tls.certificate"),
 	)
 
