--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run drill test-long overhead capacity
+.PHONY: build test demo run drill test-long fuzz overhead capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,3 +34,11 @@
 # design for, in one to two minutes.
 capacity:
 	@cd tools && go run ./capacity ..
+
+# fuzz runs each fuzz target with FUZZ inputs. The inputs differ from run to
+# run, so it is no part of the checks; the seed corpora run as plain tests.
+FUZZ ?= 20000
+fuzz:
+	@set -e; grep -rHo --include='*_test.go' '^func Fuzz[A-Za-z0-9]*' internal cmd | sort | while IFS=: read -r file target; do \
+		go test "./$$(dirname $$file)" -run XXX -fuzz "^$${target#func }$$" -fuzztime $(FUZZ)x -fuzzminimizetime 10x -parallel 4; \
+	done
