--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run drill test-long fuzz overhead
+.PHONY: build test demo run drill test-long fuzz overhead capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,6 +30,11 @@
 overhead:
 	go test ./internal/daemon -run XXX -bench 'FirstByte|RelayedToken|StreamMemory' -benchtime 3x
 
+# capacity measures the slopes of docs/CAPACITY.md and prints them at the size to
+# design for, in one to two minutes.
+capacity:
+	@cd tools && go run ./capacity ..
+
 # fuzz runs each fuzz target with FUZZ inputs. The inputs differ from run to
 # run, so it is no part of the checks; the seed corpora run as plain tests.
 FUZZ ?= 20000
