--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,6 +27,7 @@
 	admitFrom     = 0.5              // of a request's credit: a router's first ones are not all refused
 	minFraction   = 0.01             // a fraction never falls below, so that it can grow again
 	maxRetryAfter = 30 * time.Second
+	idleReports   = 60 // reports without use after which a workspace is forgotten
 )
 
 // Dimension names what is limited.
@@ -78,6 +79,7 @@
 type account struct {
 	asked, tokens int // since the last report
 	running       int
+	idle          int     // reports without use
 	fraction      float64 // admitted while the sums are fresh
 	cause         Dimension
 	credit        float64
@@ -131,14 +133,17 @@
 	a.tokenBucket.level -= float64(tokens)
 }
 
-// Report returns the usage of the limited workspaces since the last report,
-// to be summed over the routers.
+// Report returns the usage of the limited workspaces that were in use since the
+// last report, to be summed over the routers.
 func (l *Limiter) Report(now time.Time) map[string]Usage {
 	seconds := now.Sub(l.reportedAt).Seconds()
 	first := l.reportedAt.IsZero()
 	l.reportedAt = now
 	usages := make(map[string]Usage, len(l.workspaces))
 	for name, a := range l.workspaces {
+		if l.forget(name, a) {
+			continue
+		}
 		if !first && seconds > 0 {
 			usages[name] = Usage{Asked: float64(a.asked) / seconds, Tokens: float64(a.tokens) / seconds, Running: float64(a.running)}
 		}
@@ -147,6 +152,20 @@
 	return usages
 }
 
+// forget reports whether a workspace was idle since the last report: it is left
+// out, and dropped once it has been idle for idleReports.
+func (l *Limiter) forget(name string, a *account) bool {
+	if a.asked > 0 || a.tokens > 0 || a.running > 0 {
+		a.idle = 0
+		return false
+	}
+	a.idle++
+	if a.idle >= idleReports {
+		delete(l.workspaces, name)
+	}
+	return true
+}
+
 // Totals takes the sums over all routers.
 func (l *Limiter) Totals(now time.Time, totals map[string]Usage) {
 	l.totalsAt = now
--- /dev/null
+++ b/internal/limits/report_test.go
@@ -0,0 +1,43 @@
+package limits_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/limits"
+	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+)
+
+// A report names the workspaces in use, not all that were ever seen.
+func TestReportLeavesOutIdleWorkspaces(t *testing.T) {
+	g := NewWithT(t)
+	state := ticket.NewState()
+	state.Limits["l"] = ticket.Limit{Name: "l", Concurrency: 10}
+	const seen, used = 1500, 9
+	for i := range seen {
+		name := fmt.Sprint("w", i)
+		state.Workspaces[name] = ticket.Workspace{Name: name, Limit: "l"}
+	}
+	l := limits.New(350)
+	l.Update(state, 350)
+	now := time.Unix(0, 0)
+	l.Report(now)
+	take := func(n int) {
+		for i := range n {
+			name := fmt.Sprint("w", i)
+			g.Expect(l.Take(now, name)).To(Succeed())
+			l.Finish(now, name, 1)
+		}
+	}
+	take(seen)
+	now = now.Add(time.Second)
+	g.Expect(l.Report(now)).To(HaveLen(seen))
+	take(used)
+	now = now.Add(time.Second)
+	g.Expect(l.Report(now)).To(HaveLen(used))
+	now = now.Add(time.Second)
+	g.Expect(l.Report(now)).To(BeEmpty())
+}
--- a/internal/router/walk.go
+++ b/internal/router/walk.go
@@ -5,7 +5,7 @@
 	tried []string // refused or failed it: not chosen again
 	busy  []string // gave it back: chosen again once nothing else is left
 	hops  int      // attempts so far
-	moved bool     // the late move was offered
+	moves int      // late moves offered
 }
 
 // leave notes the end of an attempt.
@@ -18,12 +18,15 @@
 	w.tried = append(w.tried, endpoint)
 }
 
-// takeLateMove reports whether this attempt may be handed back at half of its
-// patience. It is offered once, to an attempt that may not be moved at once.
+// maxLateMoves bounds how often a waiting request looks for a better place.
+const maxLateMoves = 3
+
+// takeLateMove reports whether this attempt may be handed back at half of the
+// patience that is left. An attempt that may be moved at once is not.
 func (w *walk) takeLateMove(picked choice) bool {
-	if w.moved || picked.mayMove {
+	if w.moves == maxLateMoves || picked.mayMove {
 		return false
 	}
-	w.moved = true
+	w.moves++
 	return true
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -121,9 +121,13 @@
 			fast++
 		}
 	}
-	if fast > 0 {
-		t.fit = t.fit[:fast]
+	if fast == 0 {
+		return
 	}
+	for _, e := range t.fit[fast:] {
+		e.fitAt = 0
+	}
+	t.fit = t.fit[:fast]
 }
 
 // partition puts the own failure domain first and returns its size.
