Show a subscriber's own revision while it asks for the whole state again

A client that could not apply an event asks for the whole state with revision 0, and the status then showed the process at revision 0, though it served on under its own. Conclusion: the status no longer shows what did not happen.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -34,12 +34,16 @@
 		return connect.NewError(connect.CodeResourceExhausted, &SubscribersError{Bound: d.s.settings.MaxSubscribers})
 	}
 	defer d.s.subscribers.remove(sub)
-	if r.Msg.GetRevision() == 0 {
+	from := r.Msg.GetRevision()
+	if r.Msg.GetResync() {
+		from = 0
+	}
+	if from == 0 {
 		if err := d.s.awaitFresh(ctx); err != nil {
 			return err
 		}
 	}
-	f := &stream{s: d.s, send: out.Send, request: r.Msg, subscriber: sub, revision: r.Msg.GetRevision()}
+	f := &stream{s: d.s, send: out.Send, request: r.Msg, subscriber: sub, revision: from}
 	return f.run(ctx)
 }
 
--- a/internal/drill/load_test.go
+++ b/internal/drill/load_test.go
@@ -36,18 +36,17 @@
 
 // load sends requests and counts what the callers saw.
 type load struct {
-	fleet     *fleet
-	seed      uint64
-	mu        sync.Mutex
-	entries   []*entry
-	whole     atomic.Int64 // questions answered whole
-	visible   atomic.Int64 // questions that failed visibly
-	wrong     atomic.Int64 // answers of another request
-	partial   atomic.Int64 // partial answers that ended like whole ones
-	cut       atomic.Int64 // questions that a planned stop cut off
-	planned   atomic.Bool  // only planned stops are going on
-	callers   sync.WaitGroup
-	questions sync.WaitGroup
+	fleet   *fleet
+	seed    uint64
+	mu      sync.Mutex
+	entries []*entry
+	whole   atomic.Int64 // questions answered whole
+	visible atomic.Int64 // questions that failed visibly
+	wrong   atomic.Int64 // answers of another request
+	partial atomic.Int64 // partial answers that ended like whole ones
+	cut     atomic.Int64 // questions that a planned stop cut off
+	planned atomic.Bool  // only planned stops are going on
+	callers sync.WaitGroup
 }
 
 // run starts requests until ctx ends and returns once all have ended.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -91,7 +91,7 @@
 	lastNew time.Time
 	changed chan struct{}
 	started time.Time
-	resync  bool // the next subscription asks for a checkpoint
+	resync  bool // the next subscription asks for the whole state
 }
 
 // New returns a client with no state yet; Run fills it.
@@ -199,9 +199,8 @@
 		WithDirectory: c.options.WithDirectory,
 		FailureDomain: c.options.FailureDomain,
 	}
-	if !c.resync {
-		r.Revision = c.view.revision()
-	}
+	r.Revision = c.view.revision()
+	r.Resync = c.resync
 	c.resync = false
 	return r
 }
--- a/tools/generate/main.go
+++ b/tools/generate/main.go
@@ -7,6 +7,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"log"
 	"os"
 	"os/exec"
@@ -43,6 +45,26 @@
 			log.Fatal(err)
 		}
 	}
+	if err := writeSums(protoDir, outDir, files); err != nil {
+		log.Fatal(err)
+	}
+}
+
+// sumsFile lists the sources that gen/ was made from, in the format of
+// sha256sum, so that CI sees without a generator whether gen/ is up to date.
+const sumsFile = "gen/proto.sha256"
+
+// writeSums writes the checksums of the sources.
+func writeSums(protoDir, outDir string, files []string) error {
+	var sums bytes.Buffer
+	for _, file := range files {
+		data, err := os.ReadFile(filepath.Join(protoDir, file))
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&sums, "%x  proto/%s\n", sha256.Sum256(data), file)
+	}
+	return os.WriteFile(filepath.Join(outDir, sumsFile), sums.Bytes(), 0o644)
 }
 
 // sources lists the proto files below dir, relative to it.
