Refuse a dispatch whose flags are missing

The same held for the older flags, which the test had left out: a missing Tk-Protected made a request unprotected. Conclusion: a malformed head is refused as not run instead of read leniently.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,14 +120,14 @@
 		Workspace:   r.text(HeaderWorkspace),
 		Class:       r.text(HeaderClass),
 		Model:       r.text(HeaderModel),
-		Protected:   h.Get(HeaderProtected) == "true",
+		Protected:   r.flag(HeaderProtected),
 		Budget:      time.Duration(r.number(HeaderBudget, 40)) * time.Millisecond,
 		Patience:    time.Duration(r.number(HeaderPatience, 40)) * time.Millisecond,
 		Revision:    r.number(HeaderRevision, 64),
 		Hops:        int(r.number(HeaderHops, 31)),
-		MayMove:     h.Get(HeaderMayMove) == "true",
-		LateMove:    h.Get(HeaderLateMove) == "true",
-		Resumable:   h.Get(HeaderResumable) == "true",
+		MayMove:     r.flag(HeaderMayMove),
+		LateMove:    r.flag(HeaderLateMove),
+		Resumable:   r.flag(HeaderResumable),
 		NotAfter:    int64(r.number(HeaderNotAfter, 62)),
 	}
 	if r.err != nil {
@@ -150,6 +150,16 @@
 	return v
 }
 
+// flag reads "true" or "false"; anything else is malformed, so that a
+// protected request is never taken for another one.
+func (r *reader) flag(name string) bool {
+	v := r.header.Get(name)
+	if v != "true" && v != "false" && r.err == nil {
+		r.err = &HeaderError{Header: name, Value: v}
+	}
+	return v == "true"
+}
+
 func (r *reader) number(name string, bits int) uint64 {
 	v, err := strconv.ParseUint(r.header.Get(name), 10, bits)
 	if err != nil && r.err == nil {
