--- a/internal/drill/fleet_test.go
+++ b/internal/drill/fleet_test.go
@@ -142,7 +142,7 @@
 		f.engines = append(f.engines, e)
 		agent(i, name, "rally-text", "engine", "rally-text", serve(e.Handler()))
 	}
-	f.service = standin.NewService(standin.ServiceConfig{Name: "entries", Latency: 20 * time.Millisecond})
+	f.service = standin.NewService(standin.ServiceConfig{Name: "entries", Latency: 150 * time.Millisecond})
 	url := serve(f.service.Handler())
 	for i := range doors {
 		agent(i, fmt.Sprintf("entries-%d", i+1), "entries", "service", "entries", url)
--- a/internal/drill/load_test.go
+++ b/internal/drill/load_test.go
@@ -23,6 +23,9 @@
 	questionSize  = 30 // tokens
 	entryRepeats  = 40 // calls under one key at most
 	callTimeout   = 20 * time.Second
+
+	entryPath = "/services/entries/entries"
+	entryBody = `{"rider":7}`
 )
 
 // entry is what one protected request came to, in its callers' eyes.
@@ -72,9 +75,12 @@
 	l.mu.Lock()
 	l.entries = append(l.entries, e)
 	l.mu.Unlock()
+	if r.IntN(3) == 0 { // a second caller with the same key at the same time
+		l.callers.Go(func() { _, _, _, _ = l.call(l.fleet.routers[n%routers].url, entryPath, entryBody, e.key) })
+	}
 	extra := 1 + r.IntN(2) // repeats after the first whole answer
 	for range entryRepeats {
-		status, execution, body, err := l.call(l.fleet.routers[r.IntN(routers)].url, "/services/entries/entries", `{"rider":7}`, e.key)
+		status, execution, body, err := l.call(l.fleet.routers[r.IntN(routers)].url, entryPath, entryBody, e.key)
 		if err == nil && execution != "" {
 			e.final = execution
 		}
