--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -57,8 +57,8 @@
 	DefaultMaxSubscribers       = 10_000
 	DefaultProposeTimeout       = 5 * time.Second
 	DefaultLedgerRetention      = 24 * time.Hour
-	DefaultLedgerMaxEntries     = 1_000_000
-	DefaultLedgerMaxBytes       = 1 << 30
+	DefaultLedgerMaxEntries     = 400_000
+	DefaultLedgerMaxBytes       = 240 << 20
 	DefaultLedgerMaxAnswerBytes = 64 << 10
 	DefaultLedgerBatch          = 100
 	DefaultLedgerQueue          = 4096
--- a/tools/capacity/size.go
+++ b/tools/capacity/size.go
@@ -39,8 +39,8 @@
 	subscribersPerHost = float64(subscribers) / limitHosts
 	routersPerHost     = float64(nodes) / limitHosts // only routers follow the directory and loads
 	changesPerSecond   = float64(changesPerDay) / secondsPerDay
-	logLinesPerRequest = 2         // at a router: the route and the end
-	answerSeconds      = 20        // stated: how long an answer streams, mean
-	ledgerEntries      = 1_000_000 // default bound of the ledger
-	protectedShare     = 0.01      // stated: share of requests that are protected
+	logLinesPerRequest = 2       // at a router: the route and the end
+	answerSeconds      = 20      // stated: how long an answer streams, mean
+	ledgerEntries      = 400_000 // default bound of the ledger
+	protectedShare     = 0.01    // stated: share of requests that are protected
 )
