Put the pause that stood five times into one place, name parts plainly

Cause: waiting for a time or the end of a context was written five times; the router's types were called journey, errand and gate, which are metaphors. Change: package wait; the types are ordinaryCall, protectedCall and admission. Conclusion: one pause fewer to get wrong in each of five places.

--- a/internal/experiment/embedded.go
+++ b/internal/experiment/embedded.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 const (
@@ -185,7 +186,7 @@
 				return nil
 			}
 		}
-		if !sleepUntil(ctx, time.Now().Add(readyPoll)) {
+		if !wait.For(ctx, readyPoll) {
 			return errors.WithStack(missing)
 		}
 	}
@@ -246,7 +247,7 @@
 		if err == nil {
 			return &TicketRefusedError{Verdict: answer.Msg.GetVerdict()}
 		}
-		if !sleepUntil(ctx, time.Now().Add(readyPoll)) {
+		if !wait.For(ctx, readyPoll) {
 			return errors.Wrap(err, "submit a ticket")
 		}
 	}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -12,6 +12,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 const (
@@ -158,13 +160,13 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for i, a := range d.arrivals {
-		if !sleepUntil(ctx, start.Add(a.At)) {
+		if !wait.Until(ctx, start.Add(a.At)) {
 			break
 		}
 		for copy := range a.Copies {
 			due := start.Add(a.At + time.Duration(copy)*repeatAfter)
 			group.Go(func() {
-				if sleepUntil(ctx, due) {
+				if wait.Until(ctx, due) {
 					d.call(ctx, d.base(i+copy), a, copy, due)
 				}
 			})
@@ -196,7 +198,7 @@
 
 // sample asks each process for its revision.
 func (d *driver) sample(ctx context.Context) {
-	for at := time.Now(); sleepUntil(ctx, at); at = at.Add(sampleInterval) {
+	for at := time.Now(); wait.Until(ctx, at); at = at.Add(sampleInterval) {
 		revisions, err := d.system.Revisions(ctx)
 		if err != nil {
 			continue
@@ -213,7 +215,7 @@
 func probe(ctx context.Context, lag *hdrhistogram.Histogram) {
 	for {
 		due := time.Now().Add(probeInterval)
-		if !sleepUntil(ctx, due) {
+		if !wait.Until(ctx, due) {
 			return
 		}
 		_ = lag.RecordValue(min(time.Since(due).Microseconds(), histogramMax))
@@ -225,7 +227,7 @@
 	if d.progress == nil {
 		return
 	}
-	for at := start.Add(progressInterval); sleepUntil(ctx, at); at = at.Add(progressInterval) {
+	for at := start.Add(progressInterval); wait.Until(ctx, at); at = at.Add(progressInterval) {
 		d.line(time.Since(start))
 	}
 	d.line(time.Since(start))
--- a/internal/experiment/timeline.go
+++ b/internal/experiment/timeline.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // step is one thing to do at a time after the start.
@@ -132,7 +133,7 @@
 	var group sync.WaitGroup
 	for _, s := range t.steps() {
 		group.Go(func() {
-			if !sleepUntil(ctx, start.Add(s.at)) {
+			if !wait.Until(ctx, start.Add(s.at)) {
 				return
 			}
 			if err := s.do(ctx); err != nil {
@@ -149,16 +150,4 @@
 	return append([]Leave(nil), t.leaves...)
 }
 
-// sleepUntil is false if ctx ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func scenarioFolder(path string) string { return filepath.Dir(path) }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,6 +18,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // Bounds of a subscription.
@@ -229,12 +230,5 @@
 
 // pause waits for a random time between d/2 and d; it is false if ctx ended.
 func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d/2+rand.N(d/2+1))
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -8,6 +8,7 @@
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // unreachableTries is how often an agent that does not answer is asked.
@@ -15,7 +16,7 @@
 
 // follow waits for the end of an attempt that holds the claim and settles
 // what the agent says of it. It never starts anything.
-func (e *errand) follow(ctx context.Context, holder held) (outcome, bool) {
+func (e *protectedCall) follow(ctx context.Context, holder held) (outcome, bool) {
 	ctx, cancel := context.WithDeadline(ctx, e.query.deadline())
 	defer cancel()
 	failures := 0
@@ -26,7 +27,7 @@
 				return e.lost(ctx, holder), true
 			}
 			failures++
-			pause(ctx, ledgerPause)
+			wait.For(ctx, ledgerPause)
 			continue
 		}
 		if end, ended, known := e.inspected(ctx, holder, inspected); known {
@@ -37,7 +38,7 @@
 }
 
 // inspect asks the agent what became of the attempt.
-func (e *errand) inspect(ctx context.Context, holder held) (*trefoilkeelv1.InspectResponse, error) {
+func (e *protectedCall) inspect(ctx context.Context, holder held) (*trefoilkeelv1.InspectResponse, error) {
 	client, gone := e.agent(holder)
 	if client == nil {
 		return nil, &AgentAwayError{Endpoint: holder.endpoint, Replaced: gone}
@@ -56,7 +57,7 @@
 
 // inspected acts on the phase of an attempt. known is false while it goes on;
 // ended is false if the request may claim a new attempt.
-func (e *errand) inspected(ctx context.Context, holder held, r *trefoilkeelv1.InspectResponse) (end outcome, ended, known bool) {
+func (e *protectedCall) inspected(ctx context.Context, holder held, r *trefoilkeelv1.InspectResponse) (end outcome, ended, known bool) {
 	e.router.logger.Info("inspect", "request", holder.requestID, "attempt", holder.attempt, "endpoint", holder.endpoint, "phase", r.GetPhase().String())
 	switch r.GetPhase() {
 	case trefoilkeelv1.RequestPhase_REQUEST_PHASE_FINISHED:
@@ -73,7 +74,7 @@
 
 // tombstoned makes sure that an attempt which the agent has not run never
 // runs, and frees the claim.
-func (e *errand) tombstoned(ctx context.Context, holder held) (end outcome, ended, known bool) {
+func (e *protectedCall) tombstoned(ctx context.Context, holder held) (end outcome, ended, known bool) {
 	execution, err := e.tombstone(ctx, holder)
 	if err != nil || execution != trefoilkeelv1.Execution_EXECUTION_NOT_RUN {
 		return outcome{}, false, false
@@ -86,7 +87,7 @@
 }
 
 // lost settles an attempt that started, or may have, and has no answer.
-func (e *errand) lost(ctx context.Context, holder held) outcome {
+func (e *protectedCall) lost(ctx context.Context, holder held) outcome {
 	_ = e.router.settle(ctx, e.query, holder, trefoilkeelv1.Execution_EXECUTION_UNKNOWN, nil)
 	end := unknown("the attempt's end is not known; it will not run again")
 	end.refused.Type = dispatch.OutcomeUnknown
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // Bounds of the calls about protected requests.
@@ -88,17 +89,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, ledgerPause)
+		wait.For(ctx, ledgerPause)
 	}
 	return err
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/router/ordinary.go
+++ b/internal/router/ordinary.go
@@ -39,8 +39,8 @@
 // Unwrap returns the cause.
 func (e *BrokenAnswerError) Unwrap() error { return e.Cause }
 
-// journey is an ordinary request on its way over several endpoints.
-type journey struct {
+// ordinaryCall is an ordinary request and its attempts at several endpoints.
+type ordinaryCall struct {
 	router  *Router
 	query   *query
 	writer  http.ResponseWriter
@@ -57,7 +57,7 @@
 func (rt *Router) serveOrdinary(w http.ResponseWriter, r *http.Request, q *query) {
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline())
 	defer cancel()
-	j := &journey{router: rt, query: q, writer: w}
+	j := &ordinaryCall{router: rt, query: q, writer: w}
 	for j.walk.hops < maxHops {
 		picked, refused := rt.choose(q, &j.walk)
 		if refused != nil {
@@ -75,14 +75,14 @@
 }
 
 // noEndpoint keeps the first refusal over a bare "no endpoint left".
-func (j *journey) noEndpoint(refused *dispatch.Refusal) {
+func (j *ordinaryCall) noEndpoint(refused *dispatch.Refusal) {
 	if j.refused == nil {
 		j.refused = refused
 	}
 }
 
 // try makes one attempt and reports whether the request has come to its end.
-func (j *journey) try(ctx context.Context, picked choice) (ended bool) {
+func (j *ordinaryCall) try(ctx context.Context, picked choice) (ended bool) {
 	j.number++
 	name := picked.endpoint.GetName()
 	t := &attempt{query: j.query, number: j.number, choice: picked, body: j.query.body, hops: j.walk.hops}
@@ -99,7 +99,7 @@
 }
 
 // exchange sends the attempt and relays its answer.
-func (j *journey) exchange(ctx context.Context, t *attempt) (routing.Result, bool) {
+func (j *ordinaryCall) exchange(ctx context.Context, t *attempt) (routing.Result, bool) {
 	response, err := j.router.send(ctx, t)
 	if refused := notSent(err); refused != nil && ctx.Err() == nil {
 		return j.refusedBy(t, refused)
@@ -124,7 +124,7 @@
 }
 
 // refusedBy takes an agent's refusal: walk on, or end here.
-func (j *journey) refusedBy(t *attempt, refused *dispatch.Refusal) (routing.Result, bool) {
+func (j *ordinaryCall) refusedBy(t *attempt, refused *dispatch.Refusal) (routing.Result, bool) {
 	j.router.logger.Info("agent refused", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(),
 		"type", refused.Type, "execution", refused.Execution, "hop", t.hops)
 	result := routing.Refused
@@ -147,7 +147,7 @@
 }
 
 // failed takes an attempt that broke: pay for another, or end here.
-func (j *journey) failed(ctx context.Context, t *attempt, err error) (routing.Result, bool) {
+func (j *ordinaryCall) failed(ctx context.Context, t *attempt, err error) (routing.Result, bool) {
 	j.ran = true
 	if ctx.Err() != nil {
 		j.refused = nil
@@ -160,7 +160,7 @@
 
 // retry pays for one more attempt from the class's budget; without credit the
 // request ends with the refusal.
-func (j *journey) retry(t *attempt, refused *dispatch.Refusal) bool {
+func (j *ordinaryCall) retry(t *attempt, refused *dispatch.Refusal) bool {
 	j.refused = refused
 	if j.router.picker.takeRetry(j.query.class.Name) {
 		j.router.options.Metrics.Add(metrics.Retries, 1)
@@ -172,7 +172,7 @@
 }
 
 // giveUp ends a request for which no endpoint is left or the time is over.
-func (j *journey) giveUp(ctx context.Context) {
+func (j *ordinaryCall) giveUp(ctx context.Context) {
 	refused := j.refused
 	if ctx.Err() != nil || refused == nil {
 		refused = refusal(dispatch.DeadlineExceeded, http.StatusGatewayTimeout, "the class's deadline passed")
@@ -181,7 +181,7 @@
 }
 
 // end answers with a refusal, or breaks off a stream that has begun.
-func (j *journey) end(refused *dispatch.Refusal) {
+func (j *ordinaryCall) end(refused *dispatch.Refusal) {
 	final := *refused
 	if final.Type == dispatch.Busy {
 		final.Type = dispatch.Overloaded
@@ -196,7 +196,7 @@
 }
 
 // relayBuffered reads the whole answer and sends it only then.
-func (j *journey) relayBuffered(ctx context.Context, t *attempt, response *http.Response) (routing.Result, bool) {
+func (j *ordinaryCall) relayBuffered(ctx context.Context, t *attempt, response *http.Response) (routing.Result, bool) {
 	body, err := readWhole(t, response)
 	if err != nil {
 		return j.failed(ctx, t, err)
--- a/internal/router/protected.go
+++ b/internal/router/protected.go
@@ -26,9 +26,9 @@
 	return held{requestID: c.GetRequestId(), attempt: c.GetAttempt(), endpoint: c.GetEndpoint(), incarnation: c.GetIncarnation()}
 }
 
-// errand is a protected request on its way. It makes no attempt without a
+// protectedCall is a protected request and its attempts. It makes no attempt without a
 // granted claim, and no second claim without the tombstone of the first.
-type errand struct {
+type protectedCall struct {
 	router *Router
 	query  *query
 	walk   walk
@@ -45,7 +45,7 @@
 func (rt *Router) serveProtected(w http.ResponseWriter, r *http.Request, q *query) {
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline())
 	defer cancel()
-	e := &errand{router: rt, query: q}
+	e := &protectedCall{router: rt, query: q}
 	end := e.run(ctx)
 	if end.refused != nil {
 		rt.refuse(w, q, end.refused)
@@ -69,7 +69,7 @@
 }
 
 // run goes on until the request has an answer, a refusal, or no time left.
-func (e *errand) run(ctx context.Context) outcome {
+func (e *protectedCall) run(ctx context.Context) outcome {
 	for ctx.Err() == nil && e.walk.hops < maxHops {
 		picked, refused := e.router.choose(e.query, &e.walk)
 		if refused != nil {
@@ -89,7 +89,7 @@
 }
 
 // claimed acts on the ledger's answer to a claim.
-func (e *errand) claimed(ctx context.Context, picked choice, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
+func (e *protectedCall) claimed(ctx context.Context, picked choice, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
 	q := e.query
 	e.router.logger.Info("claim", "request", q.id, "workspace", q.workspace.Name, "class", q.class.Name,
 		"state", claim.GetState().String(), "attempt", claim.GetAttempt(), "endpoint", claim.GetEndpoint(), "holder", claim.GetRequestId())
@@ -102,7 +102,7 @@
 }
 
 // attach follows a claim that another attempt made.
-func (e *errand) attach(ctx context.Context, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
+func (e *protectedCall) attach(ctx context.Context, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
 	switch claim.GetState() {
 	case trefoilkeelv1.ClaimState_CLAIM_STATE_SETTLED:
 		return outcome{answer: claim.GetAnswer()}, true
@@ -125,7 +125,7 @@
 }
 
 // dispatch makes the one attempt that the claim grants.
-func (e *errand) dispatch(ctx context.Context, picked choice, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
+func (e *protectedCall) dispatch(ctx context.Context, picked choice, claim *trefoilkeelv1.ClaimResponse) (outcome, bool) {
 	q, holder := e.query, heldBy(claim)
 	t := &attempt{query: q, number: holder.attempt, choice: picked, body: q.body, hops: e.walk.hops}
 	t.notAfter = time.Now().Add(startWindow).UnixMilli()
@@ -148,7 +148,7 @@
 }
 
 // exchange sends the attempt and reads its whole answer.
-func (e *errand) exchange(ctx context.Context, t *attempt) (*trefoilkeelv1.StoredAnswer, *dispatch.Refusal, error) {
+func (e *protectedCall) exchange(ctx context.Context, t *attempt) (*trefoilkeelv1.StoredAnswer, *dispatch.Refusal, error) {
 	response, err := e.router.send(ctx, t)
 	if refused := notSent(err); refused != nil {
 		return nil, refused, nil
@@ -176,7 +176,7 @@
 
 // refusedBy acts on an agent's refusal of a granted attempt. "Not run" from
 // the agent is final for this attempt: its record refuses a late copy.
-func (e *errand) refusedBy(ctx context.Context, holder held, refused *dispatch.Refusal) (outcome, bool) {
+func (e *protectedCall) refusedBy(ctx context.Context, holder held, refused *dispatch.Refusal) (outcome, bool) {
 	e.router.logger.Info("agent refused", "request", e.query.id, "attempt", holder.attempt, "type", refused.Type, "execution", refused.Execution)
 	if refused.Execution != dispatch.NotRun {
 		return e.follow(context.WithoutCancel(ctx), holder)
@@ -186,7 +186,7 @@
 
 // notRun confirms the tombstone, settles the attempt as not run, and lets the
 // request go on at another endpoint if the refusal allows it.
-func (e *errand) notRun(ctx context.Context, holder held, refused *dispatch.Refusal) (outcome, bool) {
+func (e *protectedCall) notRun(ctx context.Context, holder held, refused *dispatch.Refusal) (outcome, bool) {
 	if !e.confirmed(ctx, holder, refused) {
 		return e.follow(context.WithoutCancel(ctx), holder)
 	}
@@ -203,7 +203,7 @@
 // confirmed reports whether the attempt can never run: it never left, or the
 // agent serves another incarnation and refuses this one for good, or the agent
 // has its tombstone.
-func (e *errand) confirmed(ctx context.Context, holder held, refused *dispatch.Refusal) bool {
+func (e *protectedCall) confirmed(ctx context.Context, holder held, refused *dispatch.Refusal) bool {
 	if refused.Type == dispatch.WrongIncarnation || refused.Type == dispatch.EndpointFailed {
 		return true
 	}
@@ -213,7 +213,7 @@
 
 // agent returns the AgentService of an endpoint, or nil if the directory does
 // not hold it; gone says that another incarnation has taken its place.
-func (e *errand) agent(holder held) (client trefoilkeelv1connect.AgentServiceClient, gone bool) {
+func (e *protectedCall) agent(holder held) (client trefoilkeelv1connect.AgentServiceClient, gone bool) {
 	for _, endpoint := range e.router.options.Source.Endpoints() {
 		if endpoint.GetName() != holder.endpoint {
 			continue
@@ -227,7 +227,7 @@
 }
 
 // tombstone asks the agent to refuse an attempt for good.
-func (e *errand) tombstone(ctx context.Context, holder held) (trefoilkeelv1.Execution, error) {
+func (e *protectedCall) tombstone(ctx context.Context, holder held) (trefoilkeelv1.Execution, error) {
 	client, gone := e.agent(holder)
 	if client == nil {
 		return trefoilkeelv1.Execution_EXECUTION_UNKNOWN, &AgentAwayError{Endpoint: holder.endpoint, Replaced: gone}
@@ -259,7 +259,7 @@
 
 // ledgerDown refuses because a claim could not be recorded. This call started
 // nothing, but an earlier one under the same key may have: not-run can't be said.
-func (e *errand) ledgerDown(err error) outcome {
+func (e *protectedCall) ledgerDown(err error) outcome {
 	e.router.logger.Warn("ledger unavailable", "request", e.query.id, "error", err)
 	refused := refusal(dispatch.LedgerUnavailable, http.StatusServiceUnavailable, "the ledger can't be reached; this call started nothing")
 	refused.Execution = dispatch.Unknown
@@ -269,7 +269,7 @@
 
 // withoutEndpoint answers a repeat from the ledger although no endpoint is
 // left to run it.
-func (e *errand) withoutEndpoint(ctx context.Context, refused *dispatch.Refusal) outcome {
+func (e *protectedCall) withoutEndpoint(ctx context.Context, refused *dispatch.Refusal) outcome {
 	claim, err := e.router.lookup(ctx, e.query)
 	if err != nil {
 		return e.ledgerDown(err)
@@ -286,7 +286,7 @@
 }
 
 // timeOver ends a request whose deadline passed before an answer came.
-func (e *errand) timeOver(ctx context.Context) outcome {
+func (e *protectedCall) timeOver(ctx context.Context) outcome {
 	if ctx.Err() == nil {
 		return outcome{refused: refusal(dispatch.NoEndpoint, http.StatusServiceUnavailable, "every endpoint refused")}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,13 +40,13 @@
 
 // Router is the entry for callers.
 type Router struct {
-	options  Options
-	logger   *slog.Logger
-	picker   *picker
-	keys     atomic.Pointer[keyIndex]
-	stopping atomic.Bool
-	requests *requestIDs
-	gate     *gate
+	options   Options
+	logger    *slog.Logger
+	picker    *picker
+	keys      atomic.Pointer[keyIndex]
+	stopping  atomic.Bool
+	requests  *requestIDs
+	admission *admission
 }
 
 // New returns a router. It serves once the source has a configuration.
@@ -54,7 +54,7 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.New()
 	}
-	rt := &Router{options: options, logger: options.Logger, gate: newGate()}
+	rt := &Router{options: options, logger: options.Logger, admission: newAdmission()}
 	rt.picker = newPicker(options.Routing, options.Source)
 	rt.requests = newRequestIDs(options.Name)
 	return rt
@@ -120,11 +120,11 @@
 // serve runs a classified request to its end.
 func (rt *Router) serve(w http.ResponseWriter, r *http.Request, q *query) {
 	rt.offered(q)
-	if refused := rt.gate.enter(q); refused != nil {
+	if refused := rt.admission.enter(q); refused != nil {
 		rt.refuse(w, q, refused)
 		return
 	}
-	defer rt.gate.leave(q)
+	defer rt.admission.leave(q)
 	if q.protected {
 		rt.serveProtected(w, r, q)
 		return
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -33,7 +33,7 @@
 )
 
 // relayStream passes events on as they come, only whole ones.
-func (j *journey) relayStream(ctx context.Context, t *attempt, response *http.Response) (routing.Result, bool) {
+func (j *ordinaryCall) relayStream(ctx context.Context, t *attempt, response *http.Response) (routing.Result, bool) {
 	if j.stream == nil {
 		j.stream = &transcript{}
 		j.streamHead(response)
@@ -65,7 +65,7 @@
 // givenBack reports whether the agent preempted the stream, which goes on at
 // another endpoint then. That is the system's own doing and no failure, so it
 // costs nothing of the retry budget.
-func (j *journey) givenBack(response *http.Response) bool {
+func (j *ordinaryCall) givenBack(response *http.Response) bool {
 	if response.Trailer.Get(dispatch.HeaderOutcome) != dispatch.GivenBack || !j.stream.resumable(j.query) {
 		return false
 	}
@@ -76,7 +76,7 @@
 }
 
 // streamHead sends the head of the first stream.
-func (j *journey) streamHead(response *http.Response) {
+func (j *ordinaryCall) streamHead(response *http.Response) {
 	h := j.writer.Header()
 	dispatch.CopyHeaders(h, response.Header)
 	h.Set("X-Request-Id", j.query.id)
@@ -94,7 +94,7 @@
 
 // copyEvents relays whole events until the end of the body. The end mark is
 // held back: it is sent once the agent has called the stream whole.
-func (j *journey) copyEvents(from io.Reader) error {
+func (j *ordinaryCall) copyEvents(from io.Reader) error {
 	pooled := relayBuffers.Get().(*[]byte)
 	defer relayBuffers.Put(pooled)
 	buffer := *pooled
@@ -137,7 +137,7 @@
 }
 
 // send passes whole events to the caller and notes them.
-func (j *journey) send(control *http.ResponseController, events []byte) error {
+func (j *ordinaryCall) send(control *http.ResponseController, events []byte) error {
 	events = j.stream.note(events)
 	if len(events) == 0 {
 		return nil
@@ -158,7 +158,7 @@
 
 // finishOver reports whether the stream has every token although its end mark
 // never came: the engine broke after the last token.
-func (j *journey) finishOver() bool {
+func (j *ordinaryCall) finishOver() bool {
 	return !j.query.wantsUsage() && j.stream.finished()
 }
 
@@ -168,7 +168,7 @@
 }
 
 // streamDone sends the end mark.
-func (j *journey) streamDone() {
+func (j *ordinaryCall) streamDone() {
 	_, err := io.WriteString(j.writer, endMark)
 	j.router.picker.succeeded(j.query.class.Name)
 	j.router.finished(j.query, j.stream.first, j.stream.events)
@@ -177,7 +177,7 @@
 }
 
 // callerLeft ends a stream that nobody reads any more, or whose time is over.
-func (j *journey) callerLeft(ctx context.Context) (routing.Result, bool) {
+func (j *ordinaryCall) callerLeft(ctx context.Context) (routing.Result, bool) {
 	cause := "caller gone"
 	if ctx.Err() == context.DeadlineExceeded {
 		cause = "the class's deadline passed"
@@ -188,7 +188,7 @@
 }
 
 // unresumable ends a stream that broke and can't go on elsewhere.
-func (j *journey) unresumable(t *attempt, cause error) (routing.Result, bool) {
+func (j *ordinaryCall) unresumable(t *attempt, cause error) (routing.Result, bool) {
 	j.router.logger.Warn("attempt failed", "request", j.query.id, "endpoint", t.choice.endpoint.GetName(), "error", cause, "resumable", false)
 	refused := &dispatch.Refusal{Type: dispatch.EndpointFailed, Status: http.StatusBadGateway, Execution: dispatch.Ran, Message: cause.Error()}
 	j.router.breakStream(j.writer, j.query, refused)
--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -21,18 +21,18 @@
 	usageTimeout  = time.Second
 )
 
-// gate enforces the limits of the workspaces at this router.
-type gate struct {
+// admission enforces the limits of the workspaces at this router.
+type admission struct {
 	mu      sync.Mutex
 	limiter *limits.Limiter
 	routers int
 }
 
-// newGate returns a gate of the only router, until control tells how many there are.
-func newGate() *gate { return &gate{limiter: limits.New(1), routers: 1} }
+// newAdmission returns the admission of the only router, until control tells how many there are.
+func newAdmission() *admission { return &admission{limiter: limits.New(1), routers: 1} }
 
 // enter admits a query, or refuses it before anything ran.
-func (g *gate) enter(q *query) *dispatch.Refusal {
+func (g *admission) enter(q *query) *dispatch.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.Update(q.state, g.routers)
@@ -51,14 +51,14 @@
 }
 
 // leave ends a query that enter admitted.
-func (g *gate) leave(q *query) {
+func (g *admission) leave(q *query) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.Finish(time.Now(), q.workspace.Name, q.tokens)
 }
 
 // report gathers what this router saw since the last report.
-func (g *gate) report(name string) *trefoilkeelv1.ReportUsageRequest {
+func (g *admission) report(name string) *trefoilkeelv1.ReportUsageRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	request := &trefoilkeelv1.ReportUsageRequest{Router: name}
@@ -71,7 +71,7 @@
 }
 
 // totals takes over the sums of all routers.
-func (g *gate) totals(response *trefoilkeelv1.ReportUsageResponse) {
+func (g *admission) totals(response *trefoilkeelv1.ReportUsageResponse) {
 	sums := make(map[string]limits.Usage, len(response.GetTotals()))
 	for _, w := range response.GetTotals() {
 		sums[w.GetWorkspace()] = limits.Usage{Asked: w.GetAsked(), Tokens: w.GetTokens(), Running: w.GetRunning()}
@@ -96,12 +96,12 @@
 			return nil
 		}
 		callCtx, cancel := context.WithTimeout(ctx, usageTimeout)
-		response, err := hosts[next%len(hosts)].ReportUsage(callCtx, connect.NewRequest(rt.gate.report(rt.options.Name)))
+		response, err := hosts[next%len(hosts)].ReportUsage(callCtx, connect.NewRequest(rt.admission.report(rt.options.Name)))
 		cancel()
 		if err != nil {
 			next++
 			continue
 		}
-		rt.gate.totals(response.Msg)
+		rt.admission.totals(response.Msg)
 	}
 }
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // ModelError says that a model is not loaded.
@@ -112,7 +114,7 @@
 	case FaultCrashFirst:
 		c.fail(ctx)
 	case FaultLate:
-		if !pause(ctx, c.fault.delay()) {
+		if !wait.For(ctx, c.fault.delay()) {
 			c.fail(ctx)
 		}
 	}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -234,15 +234,3 @@
 
 // abort ends the connection without a whole answer.
 func abort() { panic(http.ErrAbortHandler) }
-
-// pause waits for d; it is false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // HeaderRunKey names the key under which a plain service counts a run.
@@ -88,7 +90,7 @@
 		abort()
 	}
 	id := s.run(r, rec, body)
-	finished := pause(ctx, time.Duration(float64(s.cfg.Latency)*s.faults.slowFactor()))
+	finished := wait.For(ctx, time.Duration(float64(s.cfg.Latency)*s.faults.slowFactor()))
 	s.release()
 	if !finished {
 		s.rec.end(rec, OutcomeCancelled)
@@ -140,7 +142,7 @@
 	case FaultCrashFirst:
 		abort()
 	case FaultLate:
-		if !pause(ctx, fault.delay()) {
+		if !wait.For(ctx, fault.delay()) {
 			s.rec.end(rec, OutcomeCancelled)
 			abort()
 		}
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // Restart bounds of a child.
@@ -107,7 +109,7 @@
 		if len(failures) > maxRestarts {
 			return &FailedError{Child: child.Name, Cause: err}
 		}
-		if !sleep(ctx, backoff) {
+		if !wait.For(ctx, backoff) {
 			return nil
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -125,18 +127,6 @@
 	return kept
 }
 
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // runSafely turns a panic into a *PanicError.
 func runSafely(ctx context.Context, child Child) (err error) {
 	defer func() {
