Ask for a new incarnation when an agent can remember no more

Cause: an agent remembers at most 200,000 protected attempts of an incarnation and then refuses protected requests; nothing asked for the next incarnation. Change: the announcer can renew, with a new nonce as after a restart; the daemon wires it to the agent. Before and after: protected requests would have been refused until a restart (read from the code); now the next heartbeat brings a higher incarnation, and the directory shows it (spec). Conclusion: the bound costs one heartbeat instead of the endpoint.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -223,6 +223,20 @@
 		Expect(silent).To(BeFalse())
 	})
 
+	It("gives an agent a new incarnation when it asks for one", func() {
+		h := solo(quick)
+		m := announce("e1", h.url)
+		c := subscribe(h.url)
+		Eventually(m.Incarnation, within, every).Should(BeNumerically(">", 0))
+		first := m.Incarnation()
+		m.Renew()
+		Eventually(m.Incarnation, within, every).Should(BeNumerically(">", first))
+		Eventually(func() bool {
+			list := c.Endpoints()
+			return len(list) == 1 && list[0].GetIncarnation() == m.Incarnation()
+		}, within, every).Should(BeTrue())
+	})
+
 	It("ends an announcer whose name a later process took", func() {
 		h := solo(quick)
 		a := announce("e1", h.url)
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -83,6 +83,7 @@
 		HTTP:        d.rpcClient(),
 		Logger:      d.logger,
 	})
+	role.agent.OnRecordsFull(role.announcer.Renew)
 	return role
 }
 
--- a/internal/follow/announcer.go
+++ b/internal/follow/announcer.go
@@ -61,11 +61,12 @@
 // last grant stays in force. Its methods are safe for concurrent use.
 type Announcer struct {
 	options AnnouncerOptions
-	nonce   string
 	orders  chan *pb.Order
 	changed chan struct{}
 
 	mu     sync.Mutex
+	nonce  string // of the present announcement
+	renew  bool   // the next step asks for a new incarnation
 	gate   lease.Gate
 	grant  grant
 	target int // index of the control host in use
@@ -190,10 +191,36 @@
 	return errors.WithStack(err)
 }
 
+// Renew asks for a new incarnation at the next heartbeat, as a restart would.
+func (a *Announcer) Renew() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.renew = true
+}
+
+// takeRenewal makes a new nonce if a new incarnation was asked for.
+func (a *Announcer) takeRenewal() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.renew {
+		return false
+	}
+	a.renew = false
+	a.nonce = rand.Text()
+	return true
+}
+
+// presentNonce returns the nonce of the present announcement.
+func (a *Announcer) presentNonce() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.nonce
+}
+
 // step announces the endpoint if it has no grant, and sends a heartbeat if it has.
 func (a *Announcer) step(ctx context.Context) error {
 	incarnation := a.Incarnation()
-	if incarnation == 0 {
+	if incarnation == 0 || a.takeRenewal() {
 		return a.announce(ctx)
 	}
 	known, err := a.heartbeat(ctx, incarnation)
@@ -210,10 +237,11 @@
 	report := a.options.Report()
 	endpoint := proto.CloneOf(a.options.Endpoint)
 	endpoint.Models = report.Models
+	nonce := a.presentNonce()
 	var answer *connect.Response[pb.AnnounceResponse]
 	err := a.call(ctx, func(ctx context.Context, c trefoilkeelv1connect.DirectoryServiceClient) error {
 		var err error
-		answer, err = c.Announce(ctx, connect.NewRequest(&pb.AnnounceRequest{Endpoint: endpoint, Nonce: a.nonce}))
+		answer, err = c.Announce(ctx, connect.NewRequest(&pb.AnnounceRequest{Endpoint: endpoint, Nonce: nonce}))
 		return err
 	})
 	if connect.CodeOf(err) == connect.CodeAlreadyExists {
