--- a/cmd/trefoilkeel/demo.go
+++ b/cmd/trefoilkeel/demo.go
@@ -7,18 +7,11 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
-
-	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
-	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
-	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
-	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
 
 // What the demo sends.
@@ -78,32 +71,12 @@
 
 // submit sends the ticket and waits until it is in force.
 func (d *demo) submit(ctx context.Context, file string) error {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	t, err := ticket.DecodeTOML(text)
-	if err != nil {
-		return err
-	}
-	encoded, err := ticket.Encode(t)
-	if err != nil {
-		return err
-	}
-	client := trefoilkeelv1connect.NewAdminServiceClient(rpc.Client(nil), d.system.Control.ControlURL())
-	response, err := client.SubmitTicket(ctx, connect.NewRequest(&trefoilkeelv1.SubmitTicketRequest{Ticket: encoded}))
-	if err != nil {
-		return err
-	}
-	if response.Msg.GetVerdict() != trefoilkeelv1.Verdict_VERDICT_ACCEPTED {
-		return &DemoError{Step: "ticket", Detail: response.Msg.String()}
-	}
 	started := time.Now()
-	if err := d.system.WaitReady(ctx, response.Msg.GetRevision()); err != nil {
+	revision, err := d.system.Submit(ctx, file)
+	if err != nil {
 		return err
 	}
-	fmt.Printf("ticket %d accepted as revision %d, in force at every process %d ms later\n\n",
-		t.Number, response.Msg.GetRevision(), time.Since(started).Milliseconds())
+	fmt.Printf("%s accepted as revision %d, in force at every process after %d ms\n\n", file, revision, time.Since(started).Milliseconds())
 	return nil
 }
 
--- a/cmd/trefoilkeeld/main.go
+++ b/cmd/trefoilkeeld/main.go
@@ -30,6 +30,7 @@
 	Check    bool   `help:"Only check the settings."`
 	Router   string `help:"Address of the embedded router." default:"127.0.0.1:7100"`
 	Control  string `help:"Address of the embedded control host." default:"127.0.0.1:7300"`
+	Ticket   string `help:"First ticket of the embedded system; empty for none." default:"examples/rally/ticket-001.toml"`
 }
 
 func main() {
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -7,23 +7,19 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
-	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
 
 const riderKey = "demo-riders-key"
@@ -46,16 +42,9 @@
 
 // submit sends the first ticket and returns its revision.
 func (s *system) submit(ctx context.Context) uint64 {
-	text, err := os.ReadFile("../../examples/rally/ticket-001.toml")
+	revision, err := s.Submit(ctx, "../../examples/rally/ticket-001.toml")
 	Expect(err).NotTo(HaveOccurred())
-	t, err := ticket.DecodeTOML(text)
-	Expect(err).NotTo(HaveOccurred())
-	encoded, err := ticket.Encode(t)
-	Expect(err).NotTo(HaveOccurred())
-	response, err := s.admin().SubmitTicket(ctx, connect.NewRequest(&trefoilkeelv1.SubmitTicketRequest{Ticket: encoded}))
-	Expect(err).NotTo(HaveOccurred())
-	Expect(response.Msg.GetVerdict()).To(Equal(trefoilkeelv1.Verdict_VERDICT_ACCEPTED), response.Msg.String())
-	return response.Msg.GetRevision()
+	return revision
 }
 
 func (s *system) admin() trefoilkeelv1connect.AdminServiceClient {
