--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -16,9 +16,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
-	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
 )
 
@@ -47,10 +45,6 @@
 	return revision
 }
 
-func (s *system) admin() trefoilkeelv1connect.AdminServiceClient {
-	return trefoilkeelv1connect.NewAdminServiceClient(rpc.Client(nil), s.Control.ControlURL())
-}
-
 func (s *system) stop() {
 	Expect(s.Stop(context.Background())).To(Succeed())
 	s.standins.Stop()
