--- a/internal/agent/ordinary.go
+++ b/internal/agent/ordinary.go
@@ -41,13 +41,11 @@
 		a.refuse(w, r, notRun(dispatch.Overloaded, http.StatusTooManyRequests, err.Error()))
 		return
 	}
-	late := t.lateMove()
 	for {
-		if refusal := a.await(ctx, t, late); refusal != nil {
+		if refusal := a.await(ctx, t); refusal != nil {
 			a.refuse(w, r, refusal)
 			return
 		}
-		late = nil
 		if !a.callOnce(ctx, w, r, t) {
 			return
 		}
--- a/internal/agent/protected.go
+++ b/internal/agent/protected.go
@@ -93,7 +93,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	if refusal := a.await(ctx, t, nil); refusal != nil {
+	if refusal := a.await(ctx, t); refusal != nil {
 		return refusal
 	}
 	if !t.identity.records.start(rec) {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -18,13 +18,8 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/ticket"
 )
 
-const (
-	// loadWait bounds the time to ask the queue for its figures.
-	loadWait = 50 * time.Millisecond
-	// lateMoveShare is the part of the patience after which a waiting request
-	// is handed back to its router once.
-	lateMoveShare = 2
-)
+// loadWait bounds the time to ask the queue for its figures.
+const loadWait = 50 * time.Millisecond
 
 // Handler serves requests under dispatch.PathPrefix and the AgentService.
 func (a *Agent) Handler() http.Handler {
@@ -175,26 +170,14 @@
 	return t.received.Add(-max(elapsed, 0))
 }
 
-// lateMove returns a channel that delivers once the request has waited so long
-// that a second look at the candidates pays; nil if it may not be moved.
-func (t *attempt) lateMove() <-chan time.Time {
-	if !t.meta.LateMove {
-		return nil
-	}
-	return time.After(t.meta.Patience / lateMoveShare)
-}
-
 // await waits for the queue's verdict. A nil refusal means start.
-func (a *Agent) await(ctx context.Context, t *attempt, late <-chan time.Time) *dispatch.Refusal {
+func (a *Agent) await(ctx context.Context, t *attempt) *dispatch.Refusal {
 	select {
 	case v := <-t.waiter.verdicts:
 		if v.start {
 			return nil
 		}
 		return fromQueue(v.refusal)
-	case <-late:
-		a.queue.cancel(t.key)
-		return notRun(dispatch.Busy, http.StatusTooManyRequests, "waited for half of its patience here")
 	case <-ctx.Done():
 		a.queue.cancel(t.key)
 		return notRun(dispatch.DeadlineExceeded, http.StatusGatewayTimeout, "caller gone or deadline passed before the start")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,7 +30,6 @@
 	HeaderOutcome     = "Tk-Outcome"     // trailer: whole or broken
 	HeaderHops        = "Tk-Hops"        // candidates tried before this one
 	HeaderMayMove     = "Tk-May-Move"    // true while other candidates are untried
-	HeaderLateMove    = "Tk-Late-Move"   // true if the agent may hand it back at half of its patience
 	HeaderResumable   = "Tk-Resumable"   // true if the router can continue a broken stream elsewhere
 	HeaderNotAfter    = "Tk-Not-After"   // Unix ms after which a protected attempt must not start, 0 for none
 )
@@ -68,9 +67,6 @@
 	// MayMove says that other candidates are untried: the agent refuses at
 	// once what it would start too late.
 	MayMove bool
-	// LateMove lets the agent hand the request back as busy once it has waited
-	// for half of its patience, for a second look at the candidates.
-	LateMove bool
 	// Resumable says that a stream can go on at another endpoint, so that the
 	// agent may preempt it after its first token.
 	Resumable bool
@@ -105,7 +101,6 @@
 	h.Set(HeaderRevision, strconv.FormatUint(m.Revision, 10))
 	h.Set(HeaderHops, strconv.Itoa(m.Hops))
 	h.Set(HeaderMayMove, strconv.FormatBool(m.MayMove))
-	h.Set(HeaderLateMove, strconv.FormatBool(m.LateMove))
 	h.Set(HeaderResumable, strconv.FormatBool(m.Resumable))
 	h.Set(HeaderNotAfter, strconv.FormatInt(m.NotAfter, 10))
 }
@@ -126,7 +121,6 @@
 		Revision:    r.number(HeaderRevision, 64),
 		Hops:        int(r.number(HeaderHops, 31)),
 		MayMove:     r.flag(HeaderMayMove),
-		LateMove:    r.flag(HeaderLateMove),
 		Resumable:   r.flag(HeaderResumable),
 		NotAfter:    int64(r.number(HeaderNotAfter, 62)),
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -77,7 +77,7 @@
 		want := &dispatch.Meta{
 			RequestID: text.Draw(t, "id"), Attempt: rapid.Uint32().Draw(t, "attempt"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
 			Workspace: text.Draw(t, "workspace"), Class: text.Draw(t, "class"), Model: text.Draw(t, "model"),
-			Protected: rapid.Bool().Draw(t, "protected"), MayMove: rapid.Bool().Draw(t, "may move"), LateMove: rapid.Bool().Draw(t, "late move"), Resumable: rapid.Bool().Draw(t, "resumable"),
+			Protected: rapid.Bool().Draw(t, "protected"), MayMove: rapid.Bool().Draw(t, "may move"), Resumable: rapid.Bool().Draw(t, "resumable"),
 			Budget: milliseconds.Draw(t, "budget"), Patience: milliseconds.Draw(t, "patience"), Revision: rapid.Uint64().Draw(t, "revision"),
 			Hops: rapid.IntRange(0, 1<<31-1).Draw(t, "hops"), NotAfter: rapid.Int64Range(0, 1<<62-1).Draw(t, "not after"),
 		}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -24,7 +24,6 @@
 	choice   choice
 	body     []byte
 	hops     int  // attempts before this one
-	lateMove bool // the agent may hand it back at half of its patience
 	resumes  bool // continues a stream that has begun
 	notAfter int64
 }
@@ -133,7 +132,6 @@
 		Patience:    t.patience(),
 		Revision:    t.query.state.Revision,
 		Hops:        t.hops,
-		LateMove:    t.lateMove,
 		Resumable:   t.query.stream && !t.query.protected && continuable(t.query.parsed),
 		MayMove:     t.choice.mayMove,
 		NotAfter:    t.notAfter,
--- a/internal/router/ordinary.go
+++ b/internal/router/ordinary.go
@@ -86,7 +86,6 @@
 	j.number++
 	name := picked.endpoint.GetName()
 	t := &attempt{query: j.query, number: j.number, choice: picked, body: j.query.body, hops: j.walk.hops}
-	t.lateMove = j.walk.takeLateMove(picked)
 	if j.stream != nil {
 		t.resumes = true
 		t.body, _ = j.stream.resumeBody(j.query)
