Ask in one place whether a body's end is marked, drop a field set twice

Cause: a read of the whole change found the test for a body with a marked end written in both of the agent's relays, and a refusal's type set to what it was. Change: marksEnd serves both relays; the second assignment is gone.

--- a/internal/agent/ordinary.go
+++ b/internal/agent/ordinary.go
@@ -101,7 +101,7 @@
 	p := &pipe{agent: a, attempt: t, to: w, control: http.NewResponseController(w)}
 	p.pacer = newPacer(time.Duration(t.class.BetweenTokensTarget))
 	p.stream = isEventStream(response.Header)
-	p.firm = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	p.firm = marksEnd(response)
 	whole := p.copy(ctx, response.Body)
 	outcome := outcomeOf(ctx, whole)
 	w.Header().Set(dispatch.HeaderOutcome, outcome)
@@ -119,6 +119,12 @@
 	return flow.Whole
 }
 
+// marksEnd reports whether the protocol marks the end of the body. A body that
+// only the closing of the connection ends can't be told from a broken one.
+func marksEnd(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // outcomeOf is what the router is told at the end of an answer.
 func outcomeOf(ctx context.Context, whole bool) string {
 	if whole {
@@ -157,7 +163,7 @@
 	pacer    *pacer
 	tracker  engine.Tracker
 	stream   bool
-	firm     bool // the protocol marks the end of the body
+	firm     bool // see marksEnd
 	reported int
 }
 
--- a/internal/agent/protected.go
+++ b/internal/agent/protected.go
@@ -111,8 +111,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxProtectedAnswer+1))
-	firm := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if err != nil || !firm || len(body) > maxProtectedAnswer {
+	if err != nil || !marksEnd(response) || len(body) > maxProtectedAnswer {
 		return nil, failed(dispatch.EndpointUnreadable, dispatch.Unknown, "the endpoint's answer is not whole or too large")
 	}
 	return &trefoilkeelv1.StoredAnswer{
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
-	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
@@ -89,7 +88,5 @@
 // lost settles an attempt that started, or may have, and has no answer.
 func (e *protectedCall) lost(ctx context.Context, holder held) outcome {
 	_ = e.router.settle(ctx, e.query, holder, trefoilkeelv1.Execution_EXECUTION_UNKNOWN, nil)
-	end := unknown("the attempt's end is not known; it will not run again")
-	end.refused.Type = dispatch.OutcomeUnknown
-	return end
+	return unknown("the attempt's end is not known; it will not run again")
 }
