--- a/cmd/trefoilkeeld/main.go
+++ b/cmd/trefoilkeeld/main.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/daemon"
 	"github.com/trefoilkeel/trefoilkeel/internal/logging"
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
+	"github.com/trefoilkeel/trefoilkeel/platform"
 )
 
 // Exit codes of the daemon.
@@ -27,6 +28,7 @@
 type cli struct {
 	Settings string `help:"TOML file with the settings." type:"path" xor:"mode" required:""`
 	Embedded bool   `help:"Run a whole system with stand-in endpoints on loopback." xor:"mode" required:""`
+	Platform string `help:"Run a role (entry, control) on the platform that names the settings in its environment." xor:"mode" required:"" enum:"entry,control,"  default:""`
 	Check    bool   `help:"Only check the settings."`
 	Router   string `help:"Address of the embedded router." default:"127.0.0.1:7100"`
 	Control  string `help:"Address of the embedded control host." default:"127.0.0.1:7300"`
@@ -38,6 +40,9 @@
 	kong.Parse(c, kong.Name("trefoilkeeld"), kong.Description("Route language-model traffic by tiers."), kong.UsageOnError())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if c.Platform != "" {
+		os.Exit(runPlatform(ctx, c.Platform))
+	}
 	if c.Embedded {
 		os.Exit(runEmbedded(ctx, c))
 	}
@@ -71,6 +76,18 @@
 	return 0
 }
 
+// runPlatform runs a role on the platform until ctx ends.
+func runPlatform(ctx context.Context, role string) int {
+	logger := logging.New(os.Stdout, slog.LevelInfo)
+	log.SetFlags(0)
+	log.SetOutput(daemon.ShortWriter{Logger: logger})
+	if err := platform.Run(ctx, role, logger); err != nil {
+		logger.Error("process failed", "role", role, "error", err)
+		return exitFailed
+	}
+	return 0
+}
+
 // refuse prints why the process does not start.
 func refuse(err error) int {
 	fmt.Fprintln(os.Stderr, "trefoilkeeld:", err)
--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/peer.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/peer.connect.go
@@ -40,6 +40,8 @@
 	// PeerServiceChangeMemberProcedure is the fully-qualified name of the PeerService's ChangeMember
 	// RPC.
 	PeerServiceChangeMemberProcedure = "/trefoilkeel.v1.PeerService/ChangeMember"
+	// PeerServiceConfirmProcedure is the fully-qualified name of the PeerService's Confirm RPC.
+	PeerServiceConfirmProcedure = "/trefoilkeel.v1.PeerService/Confirm"
 )
 
 // PeerServiceClient is a client for the trefoilkeel.v1.PeerService service.
@@ -50,6 +52,8 @@
 	Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error)
 	// ChangeMember forwards a change of the set of hosts to the leader.
 	ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error)
+	// Confirm is answered by a leader that a quorum has followed since it was asked.
+	Confirm(context.Context, *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the trefoilkeel.v1.PeerService service. By default,
@@ -81,6 +85,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ChangeMember")),
 			connect.WithClientOptions(opts...),
 		),
+		confirm: connect.NewClient[v1.ConfirmRequest, v1.ConfirmResponse](
+			httpClient,
+			baseURL+PeerServiceConfirmProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Confirm")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +99,7 @@
 	step         *connect.Client[v1.StepRequest, v1.StepResponse]
 	propose      *connect.Client[v1.ProposeRequest, v1.ProposeResponse]
 	changeMember *connect.Client[v1.ChangeMemberRequest, v1.ChangeMemberResponse]
+	confirm      *connect.Client[v1.ConfirmRequest, v1.ConfirmResponse]
 }
 
 // Step calls trefoilkeel.v1.PeerService.Step.
@@ -106,6 +117,11 @@
 	return c.changeMember.CallUnary(ctx, req)
 }
 
+// Confirm calls trefoilkeel.v1.PeerService.Confirm.
+func (c *peerServiceClient) Confirm(ctx context.Context, req *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error) {
+	return c.confirm.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the trefoilkeel.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Step delivers a batch of agreement messages.
@@ -114,6 +130,8 @@
 	Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error)
 	// ChangeMember forwards a change of the set of hosts to the leader.
 	ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error)
+	// Confirm is answered by a leader that a quorum has followed since it was asked.
+	Confirm(context.Context, *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -141,6 +159,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ChangeMember")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceConfirmHandler := connect.NewUnaryHandler(
+		PeerServiceConfirmProcedure,
+		svc.Confirm,
+		connect.WithSchema(peerServiceMethods.ByName("Confirm")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trefoilkeel.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceStepProcedure:
@@ -149,6 +173,8 @@
 			peerServiceProposeHandler.ServeHTTP(w, r)
 		case PeerServiceChangeMemberProcedure:
 			peerServiceChangeMemberHandler.ServeHTTP(w, r)
+		case PeerServiceConfirmProcedure:
+			peerServiceConfirmHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -169,3 +195,7 @@
 func (UnimplementedPeerServiceHandler) ChangeMember(context.Context, *connect.Request[v1.ChangeMemberRequest]) (*connect.Response[v1.ChangeMemberResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.ChangeMember is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Confirm(context.Context, *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.Confirm is not implemented"))
+}
--- /dev/null
+++ b/internal/balance/attempt.go
@@ -0,0 +1,135 @@
+package balance
+
+import "time"
+
+// Result says how an attempt ended.
+type Result uint8
+
+// Results of an attempt.
+const (
+	Succeeded Result = iota
+	Failed           // no connection, a broken answer, an error, or silence
+	Busy             // it said that it did not run the request
+	Cancelled        // ended by us or the caller; says nothing of the endpoint
+)
+
+// Share is what one or more entries have in flight at an endpoint.
+type Share struct {
+	Running, Waiting, Unread int
+}
+
+// Attempt is a request on its way at an endpoint.
+type Attempt struct {
+	endpoint *endpoint
+	request  Request
+	unread   int
+	first    time.Duration
+	sentAt   time.Time
+	began    bool
+	ended    bool
+}
+
+// Sent notes that a request goes to the chosen endpoint. It returns nil if the
+// endpoint has left since.
+func (t *Table) Sent(now time.Time, r Request, c Choice) *Attempt {
+	e := t.endpoints[c.ID]
+	if e == nil {
+		return nil
+	}
+	e.waiting++
+	e.unread += c.Unread
+	e.parts.use(now, r.Parts)
+	e.ejection.sent(now)
+	return &Attempt{endpoint: e, request: r, unread: c.Unread, first: c.First, sentAt: now}
+}
+
+// Began notes the first event of an attempt, or the head of its answer.
+func (t *Table) Began(now time.Time, a *Attempt, load Load) {
+	if a == nil || a.began || a.ended {
+		return
+	}
+	a.began = true
+	e := a.endpoint
+	e.waiting--
+	e.running++
+	e.unread -= a.unread
+	e.answeredAt = now
+	t.observe(now, e, load)
+	took := now.Sub(a.sentAt)
+	if a.first > 0 {
+		ratio := float64(took) / float64(max(a.first, minExpected)) * e.speed
+		e.speed += speedWeight * (min(max(ratio, minSpeed), maxSpeed) - e.speed)
+	}
+}
+
+// minExpected keeps noise on short waits out of the speed.
+const minExpected = 30 * time.Millisecond
+
+// observe takes the figures that came with an answer.
+func (t *Table) observe(now time.Time, e *endpoint, load Load) {
+	if load == (Load{}) {
+		return
+	}
+	e.load, e.loadAt = load, now
+	e.ownAtLoad = e.running + e.waiting
+}
+
+// Ended notes the end of an attempt.
+func (t *Table) Ended(now time.Time, a *Attempt, result Result, load Load) {
+	if a == nil || a.ended {
+		return
+	}
+	a.ended = true
+	e := a.endpoint
+	if a.began {
+		e.running--
+	} else {
+		e.waiting--
+		e.unread -= a.unread
+	}
+	t.observe(now, e, load)
+	switch result {
+	case Succeeded:
+		e.answeredAt = now
+		e.ejection.succeeded()
+	case Failed:
+		e.ejection.failed(now, t.mayEject(now, e))
+	case Busy:
+		e.ejection.busy(now)
+	case Cancelled:
+		e.ejection.cancelled()
+	}
+}
+
+// maxEjectedShare is the part of a service's endpoints that may be left out.
+const maxEjectedShare = 0.5
+
+// mayEject keeps enough endpoints of a service in the choice.
+func (t *Table) mayEject(now time.Time, e *endpoint) bool {
+	all, out := 0, 0
+	for _, other := range t.services[e.Service] {
+		all++
+		if other != e && !other.ejection.admits(now) {
+			out++
+		}
+	}
+	return float64(out+1) <= maxEjectedShare*float64(all)
+}
+
+// Shares returns what this entry has in flight, by endpoint.
+func (t *Table) Shares() map[string]Share {
+	shares := map[string]Share{}
+	for id, e := range t.endpoints {
+		if e.running+e.waiting > 0 {
+			shares[id] = Share{Running: e.running, Waiting: e.waiting, Unread: e.unread}
+		}
+	}
+	return shares
+}
+
+// Others takes what the other entries have in flight, by endpoint.
+func (t *Table) Others(shares map[string]Share) {
+	for id, e := range t.endpoints {
+		e.others = shares[id]
+	}
+}
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,182 @@
+// Package balance chooses the endpoint of a request at an entry that sends to
+// endpoints directly, without an agent that knows their queues: it filters,
+// estimates for each candidate the time to the first event and what the choice
+// costs beside it, and picks the cheapest.
+//
+// A Table has no clock, goroutine or I/O. It is not safe for concurrent use.
+package balance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what the choice needs to know of a request.
+type Request struct {
+	Service string
+	Prompt  int    // tokens; 0 for a service without a model
+	Parts   []Part // of the prompt, in order
+	Answer  int    // tokens expected
+	Bytes   int    // of the body
+	Urgency int    // 0 first
+	Tried   []string
+}
+
+// Config describes the entry and what its choices cost.
+type Config struct {
+	// Domain is the entry's own failure domain.
+	Domain string
+	// CrossByte is the time that sending a byte to another failure domain is
+	// worth.
+	CrossByte time.Duration
+	// CrossTrip is the time that the way to another failure domain and back takes.
+	CrossTrip time.Duration
+	// ReadToken is what reading a shared prompt token again is worth beyond its
+	// own time: the endpoint's other requests wait for it as well.
+	ReadToken time.Duration
+}
+
+// Constants of the estimates. Speeds are first guesses, corrected by what each
+// endpoint shows.
+const (
+	readPerMS    = 90.0                   // prompt tokens an engine reads in a millisecond
+	stepTime     = 3 * time.Millisecond   // of a batch with one request
+	slotStep     = 120 * time.Microsecond // that each further request adds to a step
+	chunkTokens  = 1024                   // of a prompt, read between two steps
+	defaultSlots = 64                     // of an engine that tells none
+	plainWork    = 30 * time.Millisecond  // of a request without a prompt
+
+	speedWeight  = 0.1 // of one measurement in the speed of an endpoint
+	minSpeed     = 0.5 // times the expected duration
+	maxSpeed     = 20.0
+	reportWeight = 1.0 // of what an endpoint reports beyond our own requests
+	reportAge    = 1500 * time.Millisecond
+	silentCost   = 500 * time.Millisecond // of one that has not reported, unless it answered lately
+	answeredAge  = 2 * time.Second
+)
+
+// NoEndpointError says why no endpoint is left.
+type NoEndpointError struct {
+	Service string
+	Known   int // endpoints of the service
+	Tried   int
+	Leaving int
+	Ejected int
+	Full    int // at their bound of requests of this entry
+}
+
+// Error gives the counts.
+func (e *NoEndpointError) Error() string {
+	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d leaving, %d left out, %d full",
+		e.Service, e.Known, e.Tried, e.Leaving, e.Ejected, e.Full)
+}
+
+// Load is what an endpoint tells of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Choice is the endpoint for one attempt.
+type Choice struct {
+	ID       string
+	Address  string
+	Cross    bool          // in another failure domain
+	Cost     time.Duration // estimate that decided
+	First    time.Duration // expected time to the first event or the answer
+	Unread   int           // prompt tokens expected to be read there
+	Reported time.Duration // age of the endpoint's own figures, 0 if there are none
+	Of       int           // candidates
+}
+
+// endpoint is what the table knows of one incarnation.
+type endpoint struct {
+	directory.Endpoint
+	cross bool
+
+	running int // our requests past their first event
+	waiting int // our requests before it
+	unread  int // prompt tokens of these
+	others  Share
+
+	load        Load
+	loadAt      time.Time
+	ownAtLoad   int
+	speed       float64 // how much longer than expected it takes
+	answeredAt  time.Time
+	parts       *partCache
+	ejection    ejection
+	maxRequests int
+}
+
+// Table is what an entry knows of the endpoints.
+type Table struct {
+	config    Config
+	endpoints map[string]*endpoint
+	services  map[string][]*endpoint
+	scratch   []*endpoint
+}
+
+// New returns an empty table.
+func New(config Config) *Table {
+	return &Table{config: config, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}}
+}
+
+// Update takes a change of the directory. maxRequests bounds our requests at
+// the endpoint, 0 for no bound. A new incarnation begins with nothing known.
+func (t *Table) Update(e directory.Endpoint, maxRequests int) {
+	known := t.endpoints[e.ID]
+	if e.State == directory.Gone || e.Service == "" {
+		t.drop(known)
+		return
+	}
+	if known != nil && known.Born == e.Born && known.Service == e.Service && known.Address == e.Address {
+		known.Endpoint, known.maxRequests = e, maxRequests
+		return
+	}
+	t.drop(known)
+	added := &endpoint{Endpoint: e, cross: e.Domain != t.config.Domain, speed: 1, parts: newPartCache(), maxRequests: maxRequests}
+	t.endpoints[e.ID] = added
+	t.services[e.Service] = append(t.services[e.Service], added)
+}
+
+// SetMaxRequests changes the bound of our requests at each endpoint of a service.
+func (t *Table) SetMaxRequests(service string, maxRequests int) {
+	for _, e := range t.services[service] {
+		e.maxRequests = maxRequests
+	}
+}
+
+// drop forgets an endpoint.
+func (t *Table) drop(e *endpoint) {
+	if e == nil {
+		return
+	}
+	delete(t.endpoints, e.ID)
+	kept := t.services[e.Service][:0:0]
+	for _, other := range t.services[e.Service] {
+		if other != e {
+			kept = append(kept, other)
+		}
+	}
+	t.services[e.Service] = kept
+}
+
+// Knows reports whether any endpoint of a service is known.
+func (t *Table) Knows(service string) bool { return len(t.services[service]) > 0 }
+
+// Addresses returns the addresses of every endpoint.
+func (t *Table) Addresses() map[string]bool {
+	all := make(map[string]bool, len(t.endpoints))
+	for _, e := range t.endpoints {
+		all[e.Address] = true
+	}
+	return all
+}
--- /dev/null
+++ b/internal/balance/choose.go
@@ -0,0 +1,195 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+)
+
+// Choose returns the endpoint for a request, or a *NoEndpointError. Sent must
+// follow if the request is sent there.
+func (t *Table) Choose(now time.Time, r Request) (Choice, error) {
+	fit, missing := t.filter(now, &r)
+	if len(fit) == 0 {
+		return Choice{}, &missing
+	}
+	home := t.home(fit, &r)
+	var best *endpoint
+	var choice Choice
+	for _, e := range fit {
+		c := t.estimate(now, e, &r)
+		if e == home {
+			c.Cost -= homeAdvantage
+		}
+		if best == nil || c.Cost < choice.Cost {
+			best, choice = e, c
+		}
+	}
+	choice.Of = len(fit)
+	return choice, nil
+}
+
+// homeAdvantage is how much later the home of a prompt may be than another
+// endpoint that holds as little of it.
+const homeAdvantage = 15 * time.Millisecond
+
+// filter returns the endpoints that may take a request. Endpoints that failed
+// are left out unless that would leave none.
+func (t *Table) filter(now time.Time, r *Request) ([]*endpoint, NoEndpointError) {
+	missing := NoEndpointError{Service: r.Service}
+	t.scratch = t.scratch[:0]
+	var resort *endpoint
+	for _, e := range t.services[r.Service] {
+		missing.Known++
+		switch {
+		case e.State == directory.Draining:
+			missing.Leaving++
+		case slices.Contains(r.Tried, e.ID):
+			missing.Tried++
+		case e.maxRequests > 0 && e.running+e.waiting >= e.maxRequests:
+			missing.Full++
+		case !e.ejection.admits(now):
+			missing.Ejected++
+			if resort == nil || e.ejection.until.Before(resort.ejection.until) {
+				resort = e
+			}
+		default:
+			t.scratch = append(t.scratch, e)
+		}
+	}
+	if len(t.scratch) == 0 && resort != nil {
+		t.scratch = append(t.scratch, resort)
+	}
+	return t.scratch, missing
+}
+
+// homeSeed is fixed so that all entries agree on the home of a prompt.
+const (
+	homeMultiplier = 0x9E3779B97F4A7C15
+	homeShift      = 32
+)
+
+// home returns the endpoint that all entries of a failure domain prefer for a
+// prompt while none is known to hold more of it.
+func (t *Table) home(fit []*endpoint, r *Request) *endpoint {
+	key, ok := sharedKey(r.Parts)
+	if !ok {
+		return nil
+	}
+	var home *endpoint
+	var best uint64
+	for _, e := range fit {
+		if e.cross {
+			continue
+		}
+		if weight := mix(key ^ hashID(e.ID)); home == nil || weight > best {
+			home, best = e, weight
+		}
+	}
+	return home
+}
+
+// sharedKey names the part before the last one, which belongs to the request
+// or its session.
+func sharedKey(parts []Part) (uint64, bool) {
+	if len(parts) == 0 {
+		return 0, false
+	}
+	return parts[max(len(parts)-2, 0)].ID, true
+}
+
+// hashID is a stable hash of an id (FNV-1a).
+func hashID(id string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	return h
+}
+
+// mix spreads the bits of a key.
+func mix(x uint64) uint64 {
+	x *= homeMultiplier
+	x ^= x >> homeShift
+	x *= homeMultiplier
+	return x ^ x>>homeShift
+}
+
+// estimate is what a request would meet at an endpoint, and what that costs.
+func (t *Table) estimate(now time.Time, e *endpoint, r *Request) Choice {
+	c := Choice{ID: e.ID, Address: e.Address, Cross: e.cross}
+	if !e.loadAt.IsZero() {
+		c.Reported = now.Sub(e.loadAt)
+	}
+	held := e.parts.held(now, r.Parts)
+	c.Unread = max(r.Prompt-held, 0)
+	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * e.speed)
+	c.Cost = c.First
+	shared := sharedTokens(r.Parts)
+	c.Cost += time.Duration(max(shared-held, 0)) * t.config.ReadToken
+	if e.cross {
+		c.First += t.config.CrossTrip
+		c.Cost += t.config.CrossTrip + time.Duration(r.Bytes)*t.config.CrossByte
+	}
+	if e.State == directory.Silent && now.Sub(e.answeredAt) > answeredAge {
+		c.Cost += silentCost
+	}
+	return c
+}
+
+// sharedTokens counts the tokens that other requests may share.
+func sharedTokens(parts []Part) int {
+	total := 0
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		total += p.Tokens
+	}
+	return total
+}
+
+// expected is the time to the first event at an endpoint of ordinary speed.
+func (e *endpoint) expected(now time.Time, r *Request, unread int) time.Duration {
+	running, waiting, backlog := e.demand(now)
+	if r.Prompt == 0 {
+		slots := max(e.Slots, 1)
+		over := max(running+waiting+1-slots, 0)
+		share := float64(running+waiting) / float64(slots)
+		return plainWork + time.Duration(over)*plainWork/time.Duration(slots) + time.Duration(share*share*float64(plainWork)/2)
+	}
+	step := stepTime + time.Duration(running)*slotStep
+	tokens := backlog + unread
+	read := time.Duration(float64(tokens) / readPerMS * float64(time.Millisecond))
+	first := read + step*time.Duration(1+tokens/chunkTokens)
+	slots := e.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if over := running + waiting + 1 - slots; over > 0 {
+		first += time.Duration(over) * fullWait
+	}
+	// Each running request is slowed by this prompt, and slows this one's events.
+	return first + time.Duration(running)*crowdCost
+}
+
+// Costs of a crowded engine.
+const (
+	fullWait  = 40 * time.Millisecond // until one of the slots of a full engine comes free
+	crowdCost = 2 * time.Millisecond  // that one running request adds
+)
+
+// demand is what runs and waits at an endpoint: our own requests, what the
+// others of the failure domain shared, or what it reported, if that is more.
+func (e *endpoint) demand(now time.Time) (running, waiting, backlog int) {
+	running = e.running + e.others.Running
+	waiting = e.waiting + e.others.Waiting
+	backlog = e.unread + e.others.Unread
+	if now.Sub(e.loadAt) < reportAge {
+		reported := e.load.Running + e.load.Waiting
+		foreign := max(reported-e.ownAtLoad, 0)
+		running = max(running, e.running+e.waiting+int(reportWeight*float64(foreign))-waiting)
+		if e.load.Waiting > waiting {
+			waiting = e.load.Waiting
+		}
+	}
+	return running, waiting, backlog
+}
--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -54,7 +54,7 @@
 		Formation: m.Formation, Term: m.Term, Index: m.Index, LogTerm: m.LogTerm,
 		Commit: m.Commit, Reject: m.Reject, Transfer: m.Transfer, SentNs: int64(m.Sent),
 		Run: m.Run, Sequence: m.Sequence, Echo: m.Echo, Url: m.URL,
-		Rejected: m.Rejected, Last: m.Last,
+		Rejected: m.Rejected, Last: m.Last, Ephemeral: m.Ephemeral,
 	}
 	for _, e := range m.Entries {
 		p.Entries = append(p.Entries, entryToProto(e))
@@ -76,7 +76,7 @@
 		Formation: p.Formation, Term: p.Term, Index: p.Index, LogTerm: p.LogTerm,
 		Commit: p.Commit, Reject: p.Reject, Transfer: p.Transfer, Sent: time.Duration(p.SentNs),
 		Run: p.Run, Sequence: p.Sequence, Echo: p.Echo, URL: p.Url,
-		Rejected: p.Rejected, Last: p.Last,
+		Rejected: p.Rejected, Last: p.Last, Ephemeral: p.Ephemeral,
 	}
 	for _, e := range p.Entries {
 		m.Entries = append(m.Entries, entryFromProto(e))
@@ -100,6 +100,7 @@
 	for _, member := range m.Members {
 		p.Members = append(p.Members, &pb.LogMember{
 			Id: member.ID, Disk: member.Disk, Url: member.URL, Voter: member.Voter,
+			Ephemeral: member.Ephemeral,
 		})
 	}
 	return p
@@ -110,6 +111,7 @@
 	for _, member := range p.GetMembers() {
 		m.Members = append(m.Members, Member{
 			ID: member.Id, Disk: member.Disk, URL: member.Url, Voter: member.Voter,
+			Ephemeral: member.Ephemeral,
 		})
 	}
 	return m
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -31,6 +31,14 @@
 	Heartbeat       time.Duration
 	ElectionTimeout time.Duration // shortest; the longest is twice that
 	Seed            uint64        // of the jitter of elections
+	// Ephemeral says that the data folder ends with the process.
+	Ephemeral bool
+	// Open admits every host that asks to join, not only known ones.
+	Open bool
+	// MinVoters is how many voters with a lasting folder the system is meant
+	// to have at least. While more than that many are heard, one that is
+	// silent becomes a learner. 0 keeps silent voters.
+	MinVoters int
 }
 
 // withDefaults fills in the times that are not set.
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -81,7 +81,7 @@
 	best, match := uint64(0), uint64(0)
 	for _, member := range n.otherVoters() {
 		p := n.progress[member.ID]
-		if p == nil || n.now-p.heard > n.cfg.ElectionTimeout {
+		if member.Ephemeral || p == nil || n.now-p.heard > n.cfg.ElectionTimeout {
 			continue
 		}
 		if best == 0 || p.match > match {
@@ -111,6 +111,33 @@
 	n.becomeFollower(n.hard.Term, 0)
 }
 
+// Confirm begins a read on the leader: everything that was acknowledged
+// before the call is at or below index, once Confirmed reports at. The error is
+// a *NotLeaderError or a *BusyError.
+func (n *Node) Confirm(now time.Duration) (index uint64, at time.Duration, err error) {
+	n.now = now
+	if n.role != Leader {
+		return 0, 0, &NotLeaderError{Leader: n.leader}
+	}
+	if n.commit < n.termStart {
+		return 0, 0, &BusyError{Reason: "the leader has committed nothing in its term"}
+	}
+	n.heartbeatAt = n.now
+	return n.commit, n.now, nil
+}
+
+// Confirmed is the newest time, by this leader's clock, at which a quorum is
+// known to have followed it; false on a replica that does not lead.
+func (n *Node) Confirmed() (time.Duration, bool) {
+	if n.role != Leader {
+		return 0, false
+	}
+	return n.quorumAcked(), true
+}
+
+// SetPeers replaces the hosts through which an unknown folder asks to join.
+func (n *Node) SetPeers(peers []Member) { n.cfg.Peers = peers }
+
 // tickLeader keeps the followers informed, steps down without a quorum, and
 // repairs the membership.
 func (n *Node) tickLeader() {
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -38,6 +38,17 @@
 	return n
 }
 
+// lastingVoters counts the voters whose folder outlives their process.
+func (m *Membership) lastingVoters() int {
+	n := 0
+	for _, member := range m.Members {
+		if member.Voter && !member.Ephemeral {
+			n++
+		}
+	}
+	return n
+}
+
 // quorum is the number of voters that decides.
 func (m *Membership) quorum() int { return m.voters()/2 + 1 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -61,6 +61,9 @@
 		return
 	}
 	m, _ := n.log.membership()
+	if n.handOverTemporary(m) || n.dropAbsent(m) {
+		return
+	}
 	for _, member := range m.Members {
 		p := n.progress[member.ID]
 		if p == nil {
@@ -72,7 +75,7 @@
 			return
 		}
 		p.wentBack = false
-		if !member.Voter && n.caughtUp(p) {
+		if !member.Voter && !member.Ephemeral && n.caughtUp(p) {
 			member.Voter = true
 			_, _, _ = n.proposeMembership(m.with(member))
 			return
@@ -80,6 +83,67 @@
 	}
 }
 
+// absentTimeouts is after how many election timeouts of silence a voter may
+// become a learner.
+const absentTimeouts = 3
+
+// forgetTimeouts is after how many election timeouts of silence an ephemeral
+// member is forgotten; it can only come back with another folder.
+const forgetTimeouts = 10
+
+// handOverTemporary ends the vote of ephemeral members once enough lasting
+// folders vote. A leader among them hands over first.
+func (n *Node) handOverTemporary(m Membership) bool {
+	if lasting := m.lastingVoters(); lasting == 0 || lasting < n.cfg.MinVoters {
+		return false
+	}
+	for _, member := range m.Members {
+		if !member.Voter || !member.Ephemeral {
+			continue
+		}
+		if member.ID == n.cfg.ID {
+			return n.Transfer(n.now, 0) == nil
+		}
+		member.Voter = false
+		_, _, err := n.proposeMembership(m.with(member))
+		return err == nil
+	}
+	return false
+}
+
+// dropAbsent makes a silent voter a learner while at least MinVoters others
+// are heard, and forgets ephemeral members that are long silent.
+func (n *Node) dropAbsent(m Membership) bool {
+	heard := 0
+	for _, member := range m.Members {
+		if member.Voter && !member.Ephemeral && n.silence(member) < n.cfg.ElectionTimeout {
+			heard++
+		}
+	}
+	for _, member := range m.Members {
+		silence := n.silence(member)
+		switch {
+		case member.Voter && n.cfg.MinVoters > 0 && heard >= n.cfg.MinVoters && silence > absentTimeouts*n.cfg.ElectionTimeout:
+			member.Voter = false
+			_, _, err := n.proposeMembership(m.with(member))
+			return err == nil
+		case !member.Voter && member.Ephemeral && silence > forgetTimeouts*n.cfg.ElectionTimeout:
+			_, _, err := n.proposeMembership(m.without(member.ID))
+			return err == nil
+		}
+	}
+	return false
+}
+
+// silence is how long the leader has not heard a member.
+func (n *Node) silence(member Member) time.Duration {
+	p := n.progress[member.ID]
+	if member.ID == n.cfg.ID || p == nil {
+		return 0
+	}
+	return n.now - p.heard
+}
+
 // caughtUp reports whether a learner may vote.
 func (n *Node) caughtUp(p *progress) bool {
 	return !p.probing && p.match >= n.commit && n.now-p.heard < n.cfg.ElectionTimeout
@@ -100,7 +164,7 @@
 	}
 	n.joinAt = n.now + 2*n.cfg.Heartbeat
 	for _, id := range n.knownHosts(m) {
-		n.sendNow(Message{Type: MsgJoin, To: id, URL: n.cfg.URL})
+		n.sendNow(Message{Type: MsgJoin, To: id, URL: n.cfg.URL, Ephemeral: n.cfg.Ephemeral})
 	}
 }
 
@@ -147,7 +211,7 @@
 	var m Membership
 	for _, peer := range n.cfg.Peers {
 		if peer.ID == n.cfg.ID {
-			m = m.with(Member{ID: peer.ID, Disk: n.cfg.Disk, URL: peer.URL, Voter: true})
+			m = m.with(Member{ID: peer.ID, Disk: n.cfg.Disk, URL: peer.URL, Voter: true, Ephemeral: n.cfg.Ephemeral})
 			continue
 		}
 		m = m.with(Member{ID: peer.ID, URL: peer.URL})
@@ -188,7 +252,10 @@
 	}
 	members, _ := n.log.membership()
 	member, known := members.find(m.From)
-	if !known || member.Disk == m.Disk || slices.Contains(members.Retired, m.Disk) {
+	if !known {
+		member.ID = m.From
+	}
+	if (!known && !n.cfg.Open) || member.Disk == m.Disk || slices.Contains(members.Retired, m.Disk) {
 		return
 	}
 	if p := n.progress[m.From]; p != nil && n.now-p.heard < joinAnswerAge*n.cfg.ElectionTimeout {
@@ -197,7 +264,7 @@
 	if m.URL != "" {
 		member.URL = m.URL
 	}
-	member.Disk, member.Voter = m.Disk, false
+	member.Disk, member.Voter, member.Ephemeral = m.Disk, false, m.Ephemeral
 	// A change under way puts this one off; the host asks again.
 	_, _, _ = n.proposeMembership(members.with(member))
 }
@@ -219,7 +286,7 @@
 	if m.Type != MsgAppend || (n.hard.Formation != 0 && members.isRegistered(n.cfg.ID, n.cfg.Disk)) {
 		return
 	}
-	n.sendNow(Message{Type: MsgJoin, To: m.From, URL: n.cfg.URL})
+	n.sendNow(Message{Type: MsgJoin, To: m.From, URL: n.cfg.URL, Ephemeral: n.cfg.Ephemeral})
 }
 
 // handleJoinReply notes that another host has an empty folder, as of a
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -273,6 +273,7 @@
 	TermStart    uint64 // leader only: first entry of its term
 	LeaseEnd     time.Duration
 	HasLease     bool
+	Confirmed    time.Duration // leader only: newest time at which a quorum followed
 	Formation    uint64
 	Voter        bool
 	Registered   bool // this data folder is known to the members
@@ -289,6 +290,7 @@
 		Formation: n.hard.Formation, Voter: n.isVoter(), Registered: m.isRegistered(n.cfg.ID, n.cfg.Disk),
 		Membership: Membership{Members: slices.Clone(m.Members), Retired: m.Retired}}
 	v.LeaseEnd, v.HasLease = n.leaseEnd()
+	v.Confirmed, _ = n.Confirmed()
 	if n.role == Leader {
 		v.Match = map[uint64]uint64{n.cfg.ID: n.log.synced}
 		for id, p := range n.progress {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -47,6 +47,9 @@
 	Disk  uint64 // identity of the registered data folder, 0 until known
 	URL   string
 	Voter bool
+	// Ephemeral members lose their data folder with their process. They
+	// follow; one votes only while it founds the system.
+	Ephemeral bool
 }
 
 // Membership is the whole set of hosts.
@@ -109,6 +112,7 @@
 	Rejected  uint64 // reply: the Index of the append that did not match
 	Last      uint64 // reply: last entry held
 	URL       string
+	Ephemeral bool // the data folder of the sender ends with its process
 	Entries   []Entry
 	Snapshot  *Snapshot
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/router"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
 )
 
@@ -91,7 +92,7 @@
 		ErrorLog:          r.daemon.serverLog(),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- serve(server, limitListener(r.listener, r.settings.MaxConnections)) }()
+	go func() { failed <- serve(server, rpc.LimitListener(r.listener, r.settings.MaxConnections)) }()
 	select {
 	case err := <-failed:
 		return err
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,215 @@
+// Package entry is an entry host that forwards to endpoints directly: it
+// follows the control hosts, holds the newest configuration, and says whether
+// it is ready for callers.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/fleet"
+	"github.com/trefoilkeel/trefoilkeel/internal/forward"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
+	"github.com/trefoilkeel/trefoilkeel/internal/retry"
+)
+
+// Intervals of an entry's duties.
+const (
+	tidyInterval  = time.Second
+	shareInterval = 100 * time.Millisecond
+	shareTimeout  = 300 * time.Millisecond
+	// directoryWait is how long a new entry waits for the endpoints of its
+	// services to be known before it counts as ready without them.
+	directoryWait = 1500 * time.Millisecond
+	readyPoll     = 50 * time.Millisecond
+)
+
+// Options sets up an Entry.
+type Options struct {
+	Name        string
+	Domain      string // failure domain
+	ControlURLs []string
+	HTTP        *http.Client // to the control hosts
+	Dialect     forward.Dialect
+	Balance     balance.Config
+	Budget      *retry.Budget
+	// Decode reads a configuration as it was put.
+	Decode  func(content []byte) (*catalog.Document, error)
+	Logger  *slog.Logger
+	Metrics *metrics.Registry
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	options  Options
+	router   *forward.Router
+	follower *fleet.Follower
+	index    atomic.Pointer[catalog.Index]
+	stopping atomic.Bool
+	ready    atomic.Bool
+
+	mu           sync.Mutex
+	entries      int
+	configuredAt time.Time
+}
+
+// New returns an entry that knows no configuration.
+func New(o Options) *Entry {
+	e := &Entry{options: o, entries: 1}
+	e.router = forward.New(forward.Options{Balance: o.Balance, Budget: o.Budget, Dialect: o.Dialect, Logger: o.Logger, Metrics: o.Metrics})
+	e.follower = fleet.NewFollower(fleet.FollowerOptions{Entry: o.Name, Seeds: o.ControlURLs, HTTP: o.HTTP, Consumer: e, Logger: o.Logger})
+	return e
+}
+
+// Document takes a newer configuration. It was checked before it was kept.
+func (e *Entry) Document(version uint64, content []byte) {
+	d, err := e.options.Decode(content)
+	if err != nil {
+		e.options.Logger.Error("configuration can't be read, the one before stays", "version", version, "error", err)
+		return
+	}
+	e.index.Store(catalog.NewIndex(d))
+	e.mu.Lock()
+	if e.configuredAt.IsZero() {
+		e.configuredAt = time.Now()
+	}
+	entries := e.entries
+	e.mu.Unlock()
+	e.router.Configure(d.Services, entries)
+	e.options.Metrics.Set(metrics.Revision, int64(version))
+	e.options.Logger.Info("configuration in force", "version", version, "routes", len(d.Routes), "services", len(d.Services), "workspaces", len(d.Workspaces))
+}
+
+// Endpoints takes changes of the directory.
+func (e *Entry) Endpoints(changed []directory.Endpoint) {
+	e.router.Endpoints(changed)
+	for _, c := range changed {
+		e.options.Logger.Info("endpoint known", "endpoint", c.ID, "state", c.State.String(), "service", c.Service,
+			"address", c.Address, "born", c.Born, "sequence", c.Sequence)
+	}
+}
+
+// Entries takes the number of entries that share a budget.
+func (e *Entry) Entries(count int) {
+	e.mu.Lock()
+	e.entries = count
+	e.mu.Unlock()
+	if index := e.index.Load(); index != nil {
+		e.router.Configure(index.Document.Services, count)
+	}
+}
+
+// Index returns the configuration in force, or nil.
+func (e *Entry) Index() *catalog.Index { return e.index.Load() }
+
+// Serve answers a request; see forward.Router.
+func (e *Entry) Serve(ctx context.Context, w http.ResponseWriter, r *forward.Request) error {
+	return e.router.Serve(ctx, w, r)
+}
+
+// SetControlURLs replaces the control hosts to begin with.
+func (e *Entry) SetControlURLs(urls []string) { e.follower.SetSeeds(urls) }
+
+// Stop makes the entry not ready; it goes on serving.
+func (e *Entry) Stop() { e.stopping.Store(true) }
+
+// Stopping reports whether a stop has begun.
+func (e *Entry) Stopping() bool { return e.stopping.Load() }
+
+// Ready reports whether callers may be sent here. An entry that was ready stays
+// so without control hosts, on the configuration that it has.
+func (e *Entry) Ready() bool { return e.ready.Load() && !e.stopping.Load() }
+
+// Run follows the control hosts until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.follower.Run(ctx) })
+	group.Go(func() error { return e.becomeReady(ctx) })
+	group.Go(func() error {
+		return every(ctx, tidyInterval, func() { e.router.Tidy(time.Now()); e.gauges() })
+	})
+	group.Go(func() error { return every(ctx, shareInterval, func() { e.share(ctx) }) })
+	return group.Wait()
+}
+
+// every calls at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, call func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			call()
+		}
+	}
+}
+
+// becomeReady waits for a confirmed configuration and for the endpoints.
+func (e *Entry) becomeReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		configuredAt := e.configuredAt
+		e.mu.Unlock()
+		status := e.follower.Status()
+		if configuredAt.IsZero() || !status.Confirmed {
+			continue
+		}
+		if age := time.Since(configuredAt); e.knowsEndpoints() && status.Live == status.Hosts || age > directoryWait {
+			e.ready.Store(true)
+			e.options.Logger.Info("ready", "version", status.Version, "endpoints", status.Endpoints,
+				"control_hosts", status.Live, "control_hosts_known", status.Hosts, "waited_ms", age.Milliseconds())
+			return nil
+		}
+	}
+}
+
+// knowsEndpoints reports whether every service has an endpoint.
+func (e *Entry) knowsEndpoints() bool {
+	for _, s := range e.index.Load().Document.Services {
+		if !e.router.Knows(s.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// share exchanges what is in flight with the entries of the failure domain.
+func (e *Entry) share(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	others, err := e.follower.Share(ctx, e.options.Domain, e.router.Shares())
+	if err != nil {
+		// What the others had in flight is out of date by the next exchange.
+		e.options.Logger.Debug("exchange of load failed", "error", err)
+		others = nil
+	}
+	e.router.Others(others)
+}
+
+// gauges publishes what is known.
+func (e *Entry) gauges() {
+	status := e.follower.Status()
+	e.options.Metrics.Set(metrics.Endpoints, int64(status.Endpoints))
+	e.options.Metrics.Set(metrics.ControlHosts, int64(status.Live))
+	connections := e.router.Connections()
+	e.options.Metrics.Set(metrics.Dials, connections.Dials)
+	e.options.Metrics.Set(metrics.Reuses, connections.Reuses)
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
+)
+
+// Bounds of callers' connections.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 30 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// noticePeriod is how long a stopping entry goes on with open connections,
+	// which are told to close: the balancer needs two checks a second apart.
+	noticePeriod = 2300 * time.Millisecond
+	// stopMargin is what is left of the grace period when requests are cut.
+	stopMargin = 700 * time.Millisecond
+)
+
+// ServeCallers serves until ctx ends, then for a part of the grace period: open
+// connections are told to close with their next answer, requests that run may
+// finish. An error is a *rpc.ServeError.
+func (e *Entry) ServeCallers(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration, logger *slog.Logger) error {
+	server := &http.Server{Handler: e.withNotice(h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(l) }()
+	select {
+	case err := <-ended:
+		return errors.WithStack(&rpc.ServeError{Address: l.Addr().String(), Cause: err})
+	case <-ctx.Done():
+	}
+	e.Stop()
+	logger.Info("stopping", "grace_ms", grace.Milliseconds())
+	began := time.Now()
+	wait.For(context.WithoutCancel(ctx), min(noticePeriod, grace/2))
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-stopMargin-time.Since(began))
+	defer cancel()
+	if err := server.Shutdown(limit); err != nil {
+		logger.Warn("open requests cut off at stop", "address", l.Addr().String(), "error", err)
+		_ = server.Close()
+	}
+	<-ended
+	return nil
+}
+
+// withNotice tells callers of a stopping entry to use another connection.
+func (e *Entry) withNotice(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/fleet/convert.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"time"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+)
+
+// endpointToProto turns times into ages, because clocks of hosts differ.
+func endpointToProto(e directory.Endpoint, now time.Time) *pb.FleetEndpoint {
+	return &pb.FleetEndpoint{Id: e.ID, Service: e.Service, Address: e.Address, FailureDomain: e.Domain,
+		Slots: uint32(e.Slots), State: uint32(e.State), BornMs: e.Born, Sequence: e.Sequence,
+		ColdMs: max(e.ColdTill.Sub(now), 0).Milliseconds(), AgeMs: now.Sub(e.HeardAt).Milliseconds()}
+}
+
+func endpointFromProto(p *pb.FleetEndpoint, now time.Time) directory.Endpoint {
+	return directory.Endpoint{ID: p.Id, Service: p.Service, Address: p.Address, Domain: p.FailureDomain,
+		Slots: int(p.Slots), State: directory.State(p.State), Born: p.BornMs, Sequence: p.Sequence,
+		ColdTill: now.Add(time.Duration(p.ColdMs) * time.Millisecond),
+		HeardAt:  now.Add(-time.Duration(p.AgeMs) * time.Millisecond)}
+}
+
+func sharesToProto(shares map[string]balance.Share) []*pb.EndpointShare {
+	var out []*pb.EndpointShare
+	for id, s := range shares {
+		out = append(out, &pb.EndpointShare{Id: id, Running: uint32(s.Running), Waiting: uint32(s.Waiting), WaitingTokens: uint32(s.Unread)})
+	}
+	return out
+}
+
+func sharesFromProto(shares []*pb.EndpointShare) map[string]balance.Share {
+	out := map[string]balance.Share{}
+	for _, s := range shares {
+		out[s.Id] = balance.Share{Running: int(s.Running), Waiting: int(s.Waiting), Unread: int(s.WaitingTokens)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/follower.go
@@ -0,0 +1,278 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
+)
+
+// Bounds of following.
+const (
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = time.Second
+	// MaxControlHosts bounds the control hosts that an entry follows.
+	MaxControlHosts = 9
+)
+
+// Consumer takes what a Follower hears. Its methods are called one at a time.
+type Consumer interface {
+	// Document takes a newer configuration, as it was put.
+	Document(version uint64, content []byte)
+	// Endpoints takes the endpoints whose merged state has changed.
+	Endpoints(changed []directory.Endpoint)
+	// Entries takes the number of entries that share a budget.
+	Entries(count int)
+}
+
+// FollowerOptions sets up a Follower.
+type FollowerOptions struct {
+	Entry    string
+	Seeds    []string // base URLs
+	HTTP     *http.Client
+	Consumer Consumer
+	Logger   *slog.Logger
+}
+
+// Follower follows every control host that it hears of.
+type Follower struct {
+	options FollowerOptions
+
+	mu        sync.Mutex
+	seeds     []string
+	hosts     map[string]*host // by base URL
+	dir       *directory.Directory
+	revision  uint64
+	version   uint64
+	confirmed bool
+	entries   int
+	wake      chan struct{}
+}
+
+// host is one control host that is followed.
+type host struct {
+	live    bool // heard within silenceAfter
+	entries int
+	cancel  context.CancelFunc
+}
+
+// NewFollower returns a follower that knows the seeds.
+func NewFollower(o FollowerOptions) *Follower {
+	return &Follower{options: o, seeds: o.Seeds, hosts: map[string]*host{}, dir: directory.New(), wake: make(chan struct{}, 1)}
+}
+
+// SetSeeds replaces the hosts to begin with.
+func (f *Follower) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	f.seeds = seeds
+	f.mu.Unlock()
+	f.poke()
+}
+
+// poke lets Run look at the hosts.
+func (f *Follower) poke() {
+	select {
+	case f.wake <- struct{}{}:
+	default: // it will look anyway
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	f.begin(ctx, group, f.options.Seeds)
+	for {
+		select {
+		case <-ctx.Done():
+			return group.Wait()
+		case <-f.wake:
+		}
+		f.mu.Lock()
+		seeds := f.seeds
+		f.mu.Unlock()
+		f.begin(ctx, group, seeds)
+	}
+}
+
+// begin follows the hosts that are not followed yet.
+func (f *Follower) begin(ctx context.Context, group *errgroup.Group, urls []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, url := range urls {
+		if url == "" || f.hosts[url] != nil || len(f.hosts) >= MaxControlHosts {
+			continue
+		}
+		hostCtx, cancel := context.WithCancel(ctx)
+		h := &host{cancel: cancel}
+		f.hosts[url] = h
+		group.Go(func() error { f.follow(hostCtx, url, h); return nil })
+	}
+}
+
+// follow watches one host again and again until ctx ends.
+func (f *Follower) follow(ctx context.Context, url string, h *host) {
+	client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTP, url, connect.WithAcceptCompression("gzip", nil, nil))
+	pause := firstRetry
+	for ctx.Err() == nil {
+		heard, err := f.watch(ctx, client, h)
+		f.setLive(url, h, false, err)
+		if heard {
+			pause = firstRetry
+		}
+		if !wait.For(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, maxRetry)
+	}
+}
+
+// watch takes events of one host until it fails or is silent.
+func (f *Follower) watch(ctx context.Context, client trefoilkeelv1connect.FleetServiceClient, h *host) (heard bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(silenceAfter, func() { cancel(&SilentError{After: silenceAfter}) })
+	defer silence.Stop()
+	f.mu.Lock()
+	version := f.version
+	f.mu.Unlock()
+	stream, err := client.Watch(ctx, connect.NewRequest(&pb.WatchFleetRequest{Entry: f.options.Entry, Version: version}))
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		silence.Reset(silenceAfter)
+		if !heard {
+			f.setLive("", h, true, nil)
+			heard = true
+		}
+		f.take(h, stream.Msg())
+	}
+	if ctx.Err() != nil {
+		return heard, context.Cause(ctx)
+	}
+	return heard, stream.Err()
+}
+
+// SilentError says that a control host sent nothing.
+type SilentError struct {
+	After time.Duration
+}
+
+// Error gives the time.
+func (e *SilentError) Error() string { return "the control host was silent for " + e.After.String() }
+
+// setLive notes whether a host is heard, and logs the change.
+func (f *Follower) setLive(url string, h *host, live bool, err error) {
+	f.mu.Lock()
+	changed := h.live != live
+	h.live = live
+	f.mu.Unlock()
+	if !changed {
+		return
+	}
+	if live {
+		f.options.Logger.Info("control host regained", "entry", f.options.Entry)
+		return
+	}
+	f.options.Logger.Warn("control host lost", "url", url, "error", err)
+}
+
+// take merges an event.
+func (f *Follower) take(h *host, event *pb.FleetEvent) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, e := range event.Endpoints {
+		f.dir.Put(endpointFromProto(e, now))
+	}
+	var changed []directory.Endpoint
+	if changed, f.revision = f.dir.Since(f.revision); len(changed) > 0 {
+		f.options.Consumer.Endpoints(changed)
+	}
+	f.confirmed = f.confirmed || event.Confirmed
+	if event.Version > f.version {
+		f.version = event.Version
+		f.options.Consumer.Document(event.Version, event.Document)
+	}
+	if event.Entries > 0 {
+		h.entries = int(event.Entries)
+		f.countEntries()
+	}
+	if len(event.ControlUrls) > 0 {
+		f.seeds = append([]string(nil), event.ControlUrls...)
+		f.poke()
+	}
+}
+
+// countEntries takes the largest number of entries that any host sees.
+func (f *Follower) countEntries() {
+	most := 1
+	for _, h := range f.hosts {
+		most = max(most, h.entries)
+	}
+	if most != f.entries {
+		f.entries = most
+		f.options.Consumer.Entries(most)
+	}
+}
+
+// Status is what a follower knows.
+type Status struct {
+	Version   uint64
+	Confirmed bool // by a control host in touch with a quorum, in this life
+	Live      int  // control hosts heard
+	Hosts     int  // control hosts followed
+	Endpoints int
+}
+
+// Status returns what the follower knows.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Status{Version: f.version, Confirmed: f.confirmed, Hosts: len(f.hosts), Endpoints: f.dir.Len()}
+	for _, h := range f.hosts {
+		if h.live {
+			s.Live++
+		}
+	}
+	return s
+}
+
+// Share tells one live host what this entry has in flight and returns what the
+// others of its failure domain have.
+func (f *Follower) Share(ctx context.Context, domain string, shares map[string]balance.Share) (map[string]balance.Share, error) {
+	url := f.shareHost()
+	if url == "" {
+		return nil, nil
+	}
+	client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTP, url, connect.WithAcceptCompression("gzip", nil, nil))
+	response, err := client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Entry: f.options.Entry, FailureDomain: domain, Shares: sharesToProto(shares)}))
+	if err != nil {
+		return nil, err
+	}
+	return sharesFromProto(response.Msg.Shares), nil
+}
+
+// shareHost is the live host that all entries choose alike.
+func (f *Follower) shareHost() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	chosen := ""
+	for url, h := range f.hosts {
+		if h.live && (chosen == "" || url < chosen) {
+			chosen = url
+		}
+	}
+	return chosen
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -32,6 +32,9 @@
 	Revision      = "revision"        // gauge, newest configuration revision applied
 	RevisionAge   = "revision.age_ms" // gauge, ms since control confirmed it
 	Endpoints     = "endpoints"       // gauge, endpoints in the directory
+	ControlHosts  = "control.hosts"   // gauge, control hosts heard
+	Dials         = "upstream.dials"  // gauge, connections made to endpoints since the start
+	Reuses        = "upstream.reuses" // gauge, requests on kept connections since the start
 	Leading       = "control.leading" // gauge, 1 on the host that holds the leader lease
 	Term          = "control.term"    // gauge
 	LedgerEntries = "ledger.entries"  // gauge
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -51,6 +51,14 @@
 	// them says that its data folder is empty. A host with an empty folder
 	// joins an existing cluster as a learner in any case.
 	Bootstrap bool
+	// Ephemeral says that Dir ends with the process: the host follows and
+	// does not vote.
+	Ephemeral bool
+	// Open admits every host that asks to join.
+	Open bool
+	// MinVoters is how many voters there are meant to be at least; see
+	// consensus.Config.
+	MinVoters int
 	Machine   StateMachine
 	HTTP      *http.Client // nil for the default client
 	Logger    *slog.Logger
@@ -59,6 +67,7 @@
 	ElectionTimeout time.Duration // 0 for the default
 	SnapshotEntries uint64        // entries between snapshots, 0 for the default
 	SnapshotBytes   int           // bytes of commands between snapshots, 0 for the default
+	StepTimeout     time.Duration // of one delivery to another host, 0 for the default
 }
 
 // withDefaults fills in what is not set.
@@ -69,6 +78,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.StepTimeout == 0 {
+		o.StepTimeout = stepTimeout
+	}
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = DefaultSnapshotEntries
 	}
@@ -125,6 +137,7 @@
 	view    atomic.Pointer[consensus.View]
 	applied atomic.Uint64
 	waiting waiters
+	seeds   atomic.Pointer[[]Member]
 	learned sync.Map // id to base URL, as told by the host itself
 	clients sync.Map // base URL to client
 
@@ -171,7 +184,7 @@
 	}
 	identity := j.Identity()
 	config := consensus.Config{ID: o.ID, Disk: identity.Disk, Run: identity.Run, URL: o.SelfURL,
-		Bootstrap: o.Bootstrap, Heartbeat: o.Heartbeat, ElectionTimeout: o.ElectionTimeout,
+		Bootstrap: o.Bootstrap, Ephemeral: o.Ephemeral, Open: o.Open, MinVoters: o.MinVoters, Heartbeat: o.Heartbeat, ElectionTimeout: o.ElectionTimeout,
 		Seed: identity.Disk ^ identity.Run}
 	for _, m := range o.Members {
 		config.Peers = append(config.Peers, consensus.Member{ID: m.ID, URL: m.URL})
@@ -191,6 +204,7 @@
 		snapshots: ring.New[machineSnapshot]("snapshots", 1),
 		installs:  ring.New[consensus.Message]("installs", snapshotSlots),
 	}
+	r.seeds.Store(&o.Members)
 	r.applied.Store(stored.Snapshot.Index)
 	view := node.View()
 	r.view.Store(&view)
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -48,6 +48,8 @@
 	transfer bool
 	member   consensus.Member
 	remove   bool
+	confirm  *confirmation // what a read began with, if it is one
+	peers    []Member      // new hosts to join through, if they changed
 	done     chan outcome
 }
 
@@ -152,6 +154,20 @@
 
 // control gives a request about the hosts to the node.
 func (s *stepper) control(c *control) {
+	if c.peers != nil {
+		s.setPeers(c.peers)
+		c.done <- outcome{}
+		return
+	}
+	if c.confirm != nil {
+		index, at, err := s.node.Confirm(s.now())
+		if err != nil {
+			err = refuse(err)
+		}
+		c.confirm.index, c.confirm.at = index, at
+		c.done <- outcome{err: err}
+		return
+	}
 	if c.transfer {
 		err := s.node.Transfer(s.now(), 0)
 		if err != nil {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -21,7 +21,7 @@
 			return m.URL
 		}
 	}
-	for _, m := range r.options.Members {
+	for _, m := range *r.seeds.Load() {
 		if m.ID == id && m.URL != "" {
 			return m.URL
 		}
@@ -86,7 +86,7 @@
 			batch = append(batch, next)
 			size += messageSize(next)
 		}
-		stepCtx, cancel := context.WithTimeout(ctx, stepTimeout)
+		stepCtx, cancel := context.WithTimeout(ctx, r.options.StepTimeout)
 		err = r.deliver(stepCtx, id, batch)
 		cancel()
 		if err != nil && !r.pause(ctx) {
@@ -253,6 +253,18 @@
 	return connect.NewResponse(&pb.ProposeResponse{Result: result}), nil
 }
 
+// Confirm confirms here, as the leader.
+func (s *peerService) Confirm(ctx context.Context, req *connect.Request[pb.ConfirmRequest]) (*connect.Response[pb.ConfirmResponse], error) {
+	if err := s.sameCluster(req.Msg.Cluster); err != nil {
+		return nil, err
+	}
+	index, err := s.confirmHere(ctx)
+	if err != nil {
+		return nil, answerError(err)
+	}
+	return connect.NewResponse(&pb.ConfirmResponse{Index: index}), nil
+}
+
 // ChangeMember changes the hosts here, as the leader.
 func (s *peerService) ChangeMember(ctx context.Context, req *connect.Request[pb.ChangeMemberRequest]) (*connect.Response[pb.ChangeMemberResponse], error) {
 	if err := s.sameCluster(req.Msg.Cluster); err != nil {
--- a/internal/daemon/limit.go
+++ b/internal/rpc/limit.go
@@ -1,4 +1,4 @@
-package daemon
+package rpc
 
 import (
 	"net"
@@ -14,8 +14,8 @@
 	once   sync.Once
 }
 
-// limitListener bounds the open connections of a listener.
-func limitListener(l net.Listener, limit int) net.Listener {
+// LimitListener bounds the open connections of a listener.
+func LimitListener(l net.Listener, limit int) net.Listener {
 	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
 }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -61,6 +61,19 @@
 	}}
 }
 
+// ShortClient returns an HTTP/1.1 client without encryption for calls between
+// hosts of a private network, whose connections may go silent without being
+// closed: one on which a call ran out of time is not used again.
+func ShortClient(dial time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableCompression:  true,
+	}}
+}
+
 // Serve answers on the listener until ctx ends, then lets open requests
 // finish for a bounded time. It takes HTTP/1.1 and HTTP/2, over TLS if
 // tlsConfig is set. An error is a *ServeError.
