Spread requests by homes, crowding and quiet endpoints; keep logs of hosts without a disk in memory

A file below the temporary folder can't be synced there, so hosts without a disk never joined. Ruled out: two holders by price alone.

--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -8,7 +8,8 @@
 // Results of an attempt.
 const (
 	Succeeded Result = iota
-	Failed           // no connection, a broken answer, an error, or silence
+	Failed           // no connection, a broken answer, or silence
+	Errored          // a whole answer that is an error of the endpoint
 	Busy             // it said that it did not run the request
 	Cancelled        // ended by us or the caller; says nothing of the endpoint
 )
@@ -16,6 +17,12 @@
 // Share is what one or more entries have in flight at an endpoint.
 type Share struct {
 	Running, Waiting, Unread int
+	Urgent                   int // of all, those with a short gap target
+}
+
+// Add returns the sum of two shares.
+func (s Share) Add(o Share) Share {
+	return Share{Running: s.Running + o.Running, Waiting: s.Waiting + o.Waiting, Unread: s.Unread + o.Unread, Urgent: s.Urgent + o.Urgent}
 }
 
 // Attempt is a request on its way at an endpoint.
@@ -38,6 +45,8 @@
 	}
 	e.waiting++
 	e.unread += c.Unread
+	e.urgent += r.urgent()
+	e.heat.add(now, c.Unread)
 	e.parts.use(now, r.Parts)
 	e.ejection.sent(now)
 	return &Attempt{endpoint: e, request: r, unread: c.Unread, first: c.First, sentAt: now}
@@ -81,6 +90,7 @@
 	}
 	a.ended = true
 	e := a.endpoint
+	e.urgent -= a.request.urgent()
 	if a.began {
 		e.running--
 	} else {
@@ -92,7 +102,13 @@
 	case Succeeded:
 		e.answeredAt = now
 		e.ejection.succeeded()
+		e.errors.add(now, 0)
+	case Errored:
+		e.answeredAt = now
+		e.ejection.succeeded()
+		e.errors.add(now, 1)
 	case Failed:
+		e.errors.add(now, 1)
 		e.ejection.failed(now, t.mayEject(now, e))
 	case Busy:
 		e.ejection.busy(now)
@@ -121,7 +137,7 @@
 	shares := map[string]Share{}
 	for id, e := range t.endpoints {
 		if e.running+e.waiting > 0 {
-			shares[id] = Share{Running: e.running, Waiting: e.waiting, Unread: e.unread}
+			shares[id] = Share{Running: e.running, Waiting: e.waiting, Unread: e.unread, Urgent: e.urgent}
 		}
 	}
 	return shares
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -22,11 +22,12 @@
 // Request is what the choice needs to know of a request.
 type Request struct {
 	Service string
-	Prompt  int    // tokens; 0 for a service without a model
-	Parts   []Part // of the prompt, in order
-	Answer  int    // tokens expected
-	Bytes   int    // of the body
-	Urgency int    // 0 first
+	Prompt  int           // tokens; 0 for a service without a model
+	Parts   []Part        // of the prompt, in order
+	Answer  int           // tokens expected
+	Bytes   int           // of the body
+	Urgency int           // 0 first
+	Gap     time.Duration // longest pause between events that is on time; 0 without events
 	Tried   []string
 }
 
@@ -100,10 +101,14 @@
 type endpoint struct {
 	directory.Endpoint
 	cross bool
+	quiet bool // kept free of long prompts
 
 	running int // our requests past their first event
 	waiting int // our requests before it
 	unread  int // prompt tokens of these
+	urgent  int // our requests with a short gap target
+	heat    heat
+	errors  errorShare
 	others  Share
 
 	load        Load
@@ -122,11 +127,12 @@
 	endpoints map[string]*endpoint
 	services  map[string][]*endpoint
 	scratch   []*endpoint
+	urgentAt  map[string]time.Time // last urgent stream of a service
 }
 
 // New returns an empty table.
 func New(config Config) *Table {
-	return &Table{config: config, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}}
+	return &Table{config: config, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, urgentAt: map[string]time.Time{}}
 }
 
 // Update takes a change of the directory. maxRequests bounds our requests at
@@ -139,12 +145,14 @@
 	}
 	if known != nil && known.Born == e.Born && known.Service == e.Service && known.Address == e.Address {
 		known.Endpoint, known.maxRequests = e, maxRequests
+		t.setQuiet(e.Service)
 		return
 	}
 	t.drop(known)
 	added := &endpoint{Endpoint: e, cross: e.Domain != t.config.Domain, speed: 1, parts: newPartCache(), maxRequests: maxRequests}
 	t.endpoints[e.ID] = added
 	t.services[e.Service] = append(t.services[e.Service], added)
+	t.setQuiet(e.Service)
 }
 
 // SetMaxRequests changes the bound of our requests at each endpoint of a service.
@@ -167,8 +175,12 @@
 		}
 	}
 	t.services[e.Service] = kept
+	t.setQuiet(e.Service)
 }
 
+// serving reports whether an endpoint takes requests.
+func (e *endpoint) serving() bool { return e.State != directory.Draining && e.State != directory.Gone }
+
 // Knows reports whether any endpoint of a service is known.
 func (t *Table) Knows(service string) bool { return len(t.services[service]) > 0 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -14,13 +14,17 @@
 	if len(fit) == 0 {
 		return Choice{}, &missing
 	}
-	home := t.home(fit, &r)
+	if r.urgent() > 0 {
+		t.urgentAt[r.Service] = now
+	}
+	quiet := t.keptQuiet(now, r.Service)
+	home := t.home(fit, &r, quiet)
 	var best *endpoint
 	var choice Choice
 	for _, e := range fit {
-		c := t.estimate(now, e, &r)
-		if e == home {
-			c.Cost -= homeAdvantage
+		c := t.estimate(now, e, &r, e == home)
+		if quiet && e.quiet && r.Prompt > 0 && r.urgent() == 0 {
+			c.Cost += quietCost
 		}
 		if best == nil || c.Cost < choice.Cost {
 			best, choice = e, c
@@ -30,10 +34,6 @@
 	return choice, nil
 }
 
-// homeAdvantage is how much later the home of a prompt may be than another
-// endpoint that holds as little of it.
-const homeAdvantage = 15 * time.Millisecond
-
 // filter returns the endpoints that may take a request. Endpoints that failed
 // are left out unless that would leave none.
 func (t *Table) filter(now time.Time, r *Request) ([]*endpoint, NoEndpointError) {
@@ -72,7 +72,7 @@
 
 // home returns the endpoint that all entries of a failure domain prefer for a
 // prompt while none is known to hold more of it.
-func (t *Table) home(fit []*endpoint, r *Request) *endpoint {
+func (t *Table) home(fit []*endpoint, r *Request, quiet bool) *endpoint {
 	key, ok := sharedKey(r.Parts)
 	if !ok {
 		return nil
@@ -80,7 +80,7 @@
 	var home *endpoint
 	var best uint64
 	for _, e := range fit {
-		if e.cross {
+		if e.cross || quiet && e.quiet {
 			continue
 		}
 		if weight := mix(key ^ hashID(e.ID)); home == nil || weight > best {
@@ -117,7 +117,7 @@
 }
 
 // estimate is what a request would meet at an endpoint, and what that costs.
-func (t *Table) estimate(now time.Time, e *endpoint, r *Request) Choice {
+func (t *Table) estimate(now time.Time, e *endpoint, r *Request, home bool) Choice {
 	c := Choice{ID: e.ID, Address: e.Address, Cross: e.cross}
 	if !e.loadAt.IsZero() {
 		c.Reported = now.Sub(e.loadAt)
@@ -126,8 +126,11 @@
 	c.Unread = max(r.Prompt-held, 0)
 	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * e.speed)
 	c.Cost = c.First
-	shared := sharedTokens(r.Parts)
-	c.Cost += time.Duration(max(shared-held, 0)) * t.config.ReadToken
+	if !home {
+		// Reading the shared parts at their home is paid once, for all that follow.
+		c.Cost += time.Duration(max(sharedTokens(r.Parts)-held, 0)) * t.config.ReadToken
+	}
+	c.Cost += e.crowding(now, r, c.Unread) + time.Duration(max(e.errors.at(now)-t.usualErrors(now, r.Service)-errorSlack, 0)*float64(errorCost))
 	if e.cross {
 		c.First += t.config.CrossTrip
 		c.Cost += t.config.CrossTrip + time.Duration(r.Bytes)*t.config.CrossByte
@@ -167,15 +170,11 @@
 	if over := running + waiting + 1 - slots; over > 0 {
 		first += time.Duration(over) * fullWait
 	}
-	// Each running request is slowed by this prompt, and slows this one's events.
-	return first + time.Duration(running)*crowdCost
+	return first
 }
 
-// Costs of a crowded engine.
-const (
-	fullWait  = 40 * time.Millisecond // until one of the slots of a full engine comes free
-	crowdCost = 2 * time.Millisecond  // that one running request adds
-)
+// fullWait is how long one of the slots of a full engine takes to come free.
+const fullWait = 40 * time.Millisecond
 
 // demand is what runs and waits at an endpoint: our own requests, what the
 // others of the failure domain shared, or what it reported, if that is more.
--- /dev/null
+++ b/internal/balance/crowd.go
@@ -0,0 +1,99 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// Costs of a crowded engine: each request makes every step longer, and each
+// prompt that is read stretches the pauses of the streams that run beside it.
+const (
+	// shortGap is the gap target up to which a stream counts as urgent.
+	shortGap = 200 * time.Millisecond
+	// crowdGap divided by a stream's gap target is what one request beside it
+	// costs.
+	crowdGap = 900 * time.Millisecond
+	// disturbShare is the part of its reading time that a prompt costs for each
+	// urgent stream beside it.
+	disturbShare = 0.15
+	// heatShare is the part of the reading time of recent prompts that a stream
+	// with a short gap target expects to meet again.
+	heatShare = 0.5
+	heatTime  = 1500 * time.Millisecond // in which two thirds of the heat are gone
+
+	// errorCost is what an endpoint costs that answers nothing but errors.
+	errorCost   = time.Second
+	errorSlack  = 0.15 // above the usual share that costs nothing
+	errorWeight = 0.15            // of one answer
+	errorTime   = 3 * time.Second // in which two thirds of the memory are gone
+)
+
+// urgent counts a request that is disturbed by prompts beside it.
+func (r *Request) urgent() int {
+	if r.Gap > 0 && r.Gap <= shortGap {
+		return 1
+	}
+	return 0
+}
+
+// crowding is what a request suffers and does at an endpoint beside its wait.
+func (e *endpoint) crowding(now time.Time, r *Request, unread int) time.Duration {
+	if r.Prompt == 0 || r.Gap <= 0 {
+		return 0
+	}
+	running, waiting, _ := e.demand(now)
+	cost := time.Duration(float64(running+waiting) * float64(crowdGap) / float64(r.Gap) * float64(time.Millisecond))
+	if r.urgent() > 0 {
+		return cost + time.Duration(heatShare*float64(readTime(e.heat.at(now))))
+	}
+	beside := e.urgent + e.others.Urgent
+	return cost + time.Duration(disturbShare*float64(beside)*float64(readTime(unread)))
+}
+
+// readTime is how long an engine reads so many prompt tokens.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readPerMS * float64(time.Millisecond))
+}
+
+// heat is the prompt tokens sent to an endpoint lately.
+type heat struct {
+	tokens float64
+	since  time.Time
+}
+
+// at is the heat at a time.
+func (h *heat) at(now time.Time) int { return int(h.tokens * decay(now.Sub(h.since), heatTime)) }
+
+// add notes tokens that are sent.
+func (h *heat) add(now time.Time, tokens int) {
+	h.tokens = h.tokens*decay(now.Sub(h.since), heatTime) + float64(tokens)
+	h.since = now
+}
+
+// errorShare is the share of errors among the answers of an endpoint, which
+// fades while none come.
+type errorShare struct {
+	share float64
+	since time.Time
+}
+
+// at is the share at a time.
+func (s *errorShare) at(now time.Time) float64 { return s.share * decay(now.Sub(s.since), errorTime) }
+
+// add notes an answer, 1 for an error.
+func (s *errorShare) add(now time.Time, value float64) {
+	present := s.at(now)
+	s.share, s.since = present+errorWeight*(value-present), now
+}
+
+// usualErrors is the mean share of errors of a service's endpoints.
+func (t *Table) usualErrors(now time.Time, service string) float64 {
+	total := 0.0
+	for _, e := range t.services[service] {
+		total += e.errors.at(now)
+	}
+	return total / float64(max(len(t.services[service]), 1))
+}
+
+// decay is what is left after a time.
+func decay(age, time time.Duration) float64 { return math.Exp(-float64(max(age, 0)) / float64(time)) }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -87,7 +87,7 @@
 func NewServer(o ServerOptions) *Server {
 	return &Server{log: o.Log, machine: o.Machine, minVoters: o.MinVoters, logger: o.Logger, started: time.Now(),
 		stopped: make(chan struct{}),
-		dir: directory.New(), changed: make(chan struct{}), watchers: map[string]int{}, shares: map[string]entryShare{}}
+		dir:     directory.New(), changed: make(chan struct{}), watchers: map[string]int{}, shares: map[string]entryShare{}}
 }
 
 // Handler serves FleetService at the path.
@@ -310,8 +310,7 @@
 			continue
 		}
 		for id, share := range sharesFromProto(other.shares) {
-			sum := sums[id]
-			sums[id] = balance.Share{Running: sum.Running + share.Running, Waiting: sum.Waiting + share.Waiting, Unread: sum.Unread + share.Unread}
+			sums[id] = sums[id].Add(share)
 		}
 	}
 	return connect.NewResponse(&pb.ShareResponse{Shares: sharesToProto(sums)}), nil
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -64,7 +64,7 @@
 	}
 	s.began()
 	if x.Response.StatusCode >= http.StatusInternalServerError {
-		s.ended(balance.Failed)
+		s.ended(balance.Errored)
 		s.state.Left = time.Until(s.request.Deadline)
 		if s.state.Decide(retry.Errored) == retry.Again && s.budgetTake(time.Now(), s.request.Service) {
 			return s.again(ctx, x, body)
@@ -129,6 +129,7 @@
 // event sends one whole event to the caller, unless the caller has it.
 func (s *serving) event(x *upstream.Exchange, event []byte, flusher *http.ResponseController) error {
 	s.began()
+	s.paused(time.Now())
 	if s.status == 0 {
 		s.writeHead(x.Response, -1)
 	}
@@ -144,6 +145,14 @@
 	return errors.Wrap(flusher.Flush(), "write to the caller")
 }
 
+// paused notes the pause before an event.
+func (s *serving) paused(now time.Time) {
+	if pause := now.Sub(s.eventAt); !s.eventAt.IsZero() && pause > s.longest {
+		s.longest = pause
+	}
+	s.eventAt = now
+}
+
 // follows reports whether an event comes after another one.
 func follows(last, id string) bool {
 	a, errA := strconv.ParseUint(last, 10, 64)
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -55,6 +55,8 @@
 	lastEvent string // id of the last event written, or that the caller has
 	resumes   int
 	firstAt   time.Time
+	eventAt   time.Time
+	longest   time.Duration // pause between two events
 }
 
 // silenceError says that an endpoint was left because nothing came.
@@ -114,7 +116,7 @@
 // part of the target.
 func (s *serving) choose(ctx context.Context) error {
 	wanted := balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
-		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Tried: s.tried}
+		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Gap: s.request.Route.GapTarget, Tried: s.tried}
 	until := time.Now().Add(s.request.Route.Target / roomWait)
 	for {
 		now := time.Now()
@@ -302,5 +304,5 @@
 		"service", r.Service, "endpoint", s.choice.ID, "cross", s.choice.Cross, "expected_ms", s.choice.First.Milliseconds(),
 		"unread", s.choice.Unread, "report_age_ms", s.choice.Reported.Milliseconds(), "candidates", s.choice.Of,
 		"urgency", r.Urgency, "status", s.status, "runs", s.state.Runs, "refused", s.state.Refused, "resumes", s.resumes,
-		"first_ms", first, "took_ms", now.Sub(r.Arrived).Milliseconds(), "left", ctx.Err() != nil, "error", text(err))
+		"first_ms", first, "pause_ms", s.longest.Milliseconds(), "took_ms", now.Sub(r.Arrived).Milliseconds(), "left", ctx.Err() != nil, "error", text(err))
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -43,7 +43,7 @@
 type Options struct {
 	ID        uint64
 	ClusterID string
-	Dir       string // data folder
+	Dir       string // data folder; "" for an ephemeral host, which keeps its log in memory
 	SelfURL   string
 	// Members are the initial hosts of the settings, this one included.
 	Members []Member
@@ -51,8 +51,7 @@
 	// them says that its data folder is empty. A host with an empty folder
 	// joins an existing cluster as a learner in any case.
 	Bootstrap bool
-	// Ephemeral says that Dir ends with the process: the host follows and
-	// does not vote.
+	// Ephemeral says that the host has no disk: it follows and does not vote.
 	Ephemeral bool
 	// Open admits every host that asks to join.
 	Open bool
@@ -105,7 +104,7 @@
 	switch {
 	case o.ID == 0:
 		return &OptionsError{Field: "ID", Reason: "must not be 0"}
-	case o.Dir == "":
+	case o.Dir == "" && !o.Ephemeral:
 		return &OptionsError{Field: "Dir", Reason: "must name the data folder"}
 	case o.Machine == nil:
 		return &OptionsError{Field: "Machine", Reason: "is missing"}
@@ -119,7 +118,7 @@
 type Replica struct {
 	options Options
 	logger  *slog.Logger
-	journal *journal.Journal
+	journal store
 	node    *consensus.Node // owned by the step duty after Run
 	epoch   time.Time       // zero of the node's clock
 	stop    chan struct{}   // closed when Run has returned
@@ -154,6 +153,25 @@
 	Snapshots    atomic.Uint64 // snapshots taken of the state machine
 }
 
+// store keeps what a replica must not lose; see package journal.
+type store interface {
+	Identity() journal.Identity
+	BytesRead() int64
+	Write(s *consensus.Save) error
+	WriteSnapshot(s consensus.Snapshot, compactTo uint64) error
+	ReadSnapshot() (consensus.Snapshot, error)
+	Close() error
+}
+
+// openStore opens the data folder, or a journal in memory without a disk.
+func openStore(o Options) (store, consensus.Stored, error) {
+	if !o.Ephemeral {
+		return journal.Open(o.Dir, o.ClusterID, o.ID)
+	}
+	memory, err := journal.OpenMemory(o.ClusterID, o.ID)
+	return memory, consensus.Stored{}, err
+}
+
 // Open opens the data folder and restores the state machine from the newest
 // snapshot. Errors are *OptionsError or those of package journal.
 func Open(options Options) (*Replica, error) {
@@ -161,7 +179,7 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	j, stored, err := journal.Open(o.Dir, o.ClusterID, o.ID)
+	j, stored, err := openStore(o)
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +194,7 @@
 }
 
 // assemble builds the replica over an open journal.
-func assemble(o Options, j *journal.Journal, stored consensus.Stored) (*Replica, error) {
+func assemble(o Options, j store, stored consensus.Stored) (*Replica, error) {
 	if stored.Snapshot.Index > 0 {
 		if err := o.Machine.Restore(stored.Snapshot.Data); err != nil {
 			return nil, errors.Wrap(err, "restore the state machine")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,7 +21,7 @@
 const (
 	// DialTimeout is well over a round trip between failure domains; a lost
 	// opening packet is sent again only after a second.
-	DialTimeout = 350 * time.Millisecond
+	DialTimeout = 150 * time.Millisecond
 	// userTimeout closes a connection whose bytes nobody acknowledges.
 	userTimeout = 2 * time.Second
 	// idleMargin is how much sooner than announced an idle connection is let go.
