--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -66,11 +66,18 @@
 	t.observe(now, e, load)
 	took := now.Sub(a.sentAt)
 	if a.first > 0 {
-		ratio := float64(took) / float64(max(a.first, minExpected)) * e.speed
-		e.speed += speedWeight * (min(max(ratio, minSpeed), maxSpeed) - e.speed)
+		present := e.speedNow(now)
+		ratio := float64(took) / float64(max(a.first, minExpected)) * present
+		ratio = max(min(ratio, present*maxRise, maxSpeed), minSpeed)
+		e.speed, e.speedAt = present+speedWeight*(ratio-present), now
 	}
 }
 
+// speedNow is the learned speed, which fades while nothing is sent there.
+func (e *endpoint) speedNow(now time.Time) float64 {
+	return 1 + (e.speed-1)*decay(now.Sub(e.speedAt), speedTime)
+}
+
 // minExpected keeps noise on short waits out of the speed.
 const minExpected = 30 * time.Millisecond
 
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -58,7 +58,9 @@
 	speedWeight  = 0.1 // of one measurement in the speed of an endpoint
 	minSpeed     = 0.5 // times the expected duration
 	maxSpeed     = 20.0
-	reportWeight = 1.0 // of what an endpoint reports beyond our own requests
+	maxRise      = 3.0             // of one measurement over the present speed: work is uneven
+	speedTime    = 4 * time.Second // in which two thirds of what was learned are forgotten
+	reportWeight = 1.0             // of what an endpoint reports beyond our own requests
 	reportAge    = 1500 * time.Millisecond
 	silentCost   = 500 * time.Millisecond // of one that has not reported, unless it answered lately
 	answeredAge  = 2 * time.Second
@@ -115,6 +117,7 @@
 	loadAt      time.Time
 	ownAtLoad   int
 	speed       float64 // how much longer than expected it takes
+	speedAt     time.Time
 	answeredAt  time.Time
 	parts       *partCache
 	ejection    ejection
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -124,7 +124,7 @@
 	}
 	held := e.parts.held(now, r.Parts)
 	c.Unread = max(r.Prompt-held, 0)
-	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * e.speed)
+	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * e.speedNow(now))
 	c.Cost = c.First
 	if !home {
 		// Reading the shared parts at their home is paid once, for all that follow.
--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -23,7 +23,7 @@
 
 	// errorCost is what an endpoint costs that answers nothing but errors.
 	errorCost   = time.Second
-	errorSlack  = 0.15 // above the usual share that costs nothing
+	errorSlack  = 0.15            // above the usual share that costs nothing
 	errorWeight = 0.15            // of one answer
 	errorTime   = 3 * time.Second // in which two thirds of the memory are gone
 )
