--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,9 @@
 	// services to be known before it counts as ready without them.
 	directoryWait = 1500 * time.Millisecond
 	readyPoll     = 50 * time.Millisecond
+	// configureWait is how long a request waits for the first configuration,
+	// which is known once the control hosts have elected a leader.
+	configureWait = 900 * time.Millisecond
 )
 
 // Options sets up an Entry.
@@ -60,11 +63,12 @@
 	mu           sync.Mutex
 	entries      int
 	configuredAt time.Time
+	configured   chan struct{} // closed with the first configuration
 }
 
 // New returns an entry that knows no configuration.
 func New(o Options) *Entry {
-	e := &Entry{options: o, entries: 1}
+	e := &Entry{options: o, entries: 1, configured: make(chan struct{})}
 	e.router = forward.New(forward.Options{Balance: o.Balance, Budget: o.Budget, Dialect: o.Dialect, Logger: o.Logger, Metrics: o.Metrics})
 	e.follower = fleet.NewFollower(fleet.FollowerOptions{Entry: o.Name, Seeds: o.ControlURLs, HTTP: o.HTTP, Consumer: e, Logger: o.Logger})
 	return e
@@ -81,6 +85,7 @@
 	e.mu.Lock()
 	if e.configuredAt.IsZero() {
 		e.configuredAt = time.Now()
+		close(e.configured)
 	}
 	entries := e.entries
 	e.mu.Unlock()
@@ -111,6 +116,22 @@
 // Index returns the configuration in force, or nil.
 func (e *Entry) Index() *catalog.Index { return e.index.Load() }
 
+// AwaitIndex returns the configuration in force. An entry that has just started
+// waits a little for its first one; nil if none has come by then.
+func (e *Entry) AwaitIndex(ctx context.Context) *catalog.Index {
+	if index := e.index.Load(); index != nil {
+		return index
+	}
+	timer := time.NewTimer(configureWait)
+	defer timer.Stop()
+	select {
+	case <-e.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.index.Load()
+}
+
 // Serve answers a request; see forward.Router.
 func (e *Entry) Serve(ctx context.Context, w http.ResponseWriter, r *forward.Request) error {
 	return e.router.Serve(ctx, w, r)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -180,8 +180,7 @@
 }
 
 // Serve answers a request, or returns a *Refusal if nothing was written. An
-// answer that broke off after it had begun ends in http.ErrAbortHandler as a
-// panic, so that it doesn't look whole.
+// answer that broke off after it had begun ends in a *BrokenError.
 func (f *Router) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errTimedOut)
 	defer cancel()
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -24,6 +24,10 @@
 	// target; a caller that is refused sooner can come back in time.
 	roomWait = 8
 	roomPoll = 20 * time.Millisecond
+	// learnWait bounds the wait for a service of which no endpoint is known, in
+	// all and as a part of the time left.
+	learnWait = time.Second
+	learnPart = 3
 	// retryAfter is when a place is expected, if nothing better is known.
 	retryAfter = 400 * time.Millisecond
 	// firstPatience is how many targets a repeatable request waits for an
@@ -117,7 +121,7 @@
 func (s *serving) choose(ctx context.Context) error {
 	wanted := balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
 		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Gap: s.request.Route.GapTarget, Tried: s.tried}
-	until := time.Now().Add(s.request.Route.Target / roomWait)
+	began := time.Now()
 	for {
 		now := time.Now()
 		s.mu.Lock()
@@ -131,12 +135,22 @@
 			s.tried = append(s.tried, choice.ID)
 			return nil
 		}
-		if now.After(until) || !wait.For(ctx, roomPoll) {
+		if now.Sub(began) > s.roomWait(err) || !wait.For(ctx, roomPoll) {
 			return err
 		}
 	}
 }
 
+// roomWait is how long a request waits for an endpoint. Where none of the
+// service is known the directory is still being learned.
+func (s *serving) roomWait(err error) time.Duration {
+	var none *balance.NoEndpointError
+	if errors.As(err, &none) && none.Known == 0 {
+		return min(time.Until(s.request.Deadline)/learnPart, learnWait)
+	}
+	return s.request.Route.Target / roomWait
+}
+
 // try makes one attempt. Only Answered says that the caller has the whole answer.
 func (s *serving) try(ctx context.Context) (retry.Outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -263,7 +277,7 @@
 func (s *serving) finish(cause error) error {
 	if s.status != 0 {
 		// The caller has a part of the answer; it must not look whole.
-		return &brokenError{Cause: cause}
+		return &BrokenError{Cause: cause}
 	}
 	detail := text(cause)
 	var out *Refusal
@@ -281,16 +295,14 @@
 	return &Refusal{Reason: NoEndpoint, Detail: detail, RetryAfter: retryAfter}
 }
 
-// brokenError says that an answer ended after it had begun.
-type brokenError struct {
+// BrokenError says that an answer ended after it had begun: the caller must not
+// take what it has for the whole. It hides what else its cause may be.
+type BrokenError struct {
 	Cause error
 }
 
 // Error gives the cause.
-func (e *brokenError) Error() string { return "answer broken off: " + text(e.Cause) }
-
-// Unwrap returns the cause.
-func (e *brokenError) Unwrap() error { return e.Cause }
+func (e *BrokenError) Error() string { return "answer broken off: " + text(e.Cause) }
 
 // log writes the line of a request that has ended.
 func (s *serving) log(ctx context.Context, err error) {
