Pack documents and fetch them once; share heat between entries; decline streams that outlast a stop

Urgent streams left the quiet engines at six beside, and a sixth of them paused over target elsewhere. Change: versions are told, documents fetched packed from the own failure domain; a stopping entry declines streams that may outlast it; crowding costs urgent streams less, heat more.

--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/fleet.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/fleet.connect.go
@@ -35,6 +35,8 @@
 const (
 	// FleetServiceWatchProcedure is the fully-qualified name of the FleetService's Watch RPC.
 	FleetServiceWatchProcedure = "/trefoilkeel.v1.FleetService/Watch"
+	// FleetServiceDocumentProcedure is the fully-qualified name of the FleetService's Document RPC.
+	FleetServiceDocumentProcedure = "/trefoilkeel.v1.FleetService/Document"
 	// FleetServiceShareProcedure is the fully-qualified name of the FleetService's Share RPC.
 	FleetServiceShareProcedure = "/trefoilkeel.v1.FleetService/Share"
 )
@@ -44,6 +46,8 @@
 	// Watch sends what the host knows at once, then every change, and a
 	// keep-alive while nothing changes.
 	Watch(context.Context, *connect.Request[v1.WatchFleetRequest]) (*connect.ServerStreamForClient[v1.FleetEvent], error)
+	// Document returns the newest document that the host has applied.
+	Document(context.Context, *connect.Request[v1.DocumentRequest]) (*connect.Response[v1.DocumentResponse], error)
 	// Share takes what an entry has in flight and returns the sums of the others
 	// of its failure domain.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
@@ -66,6 +70,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		document: connect.NewClient[v1.DocumentRequest, v1.DocumentResponse](
+			httpClient,
+			baseURL+FleetServiceDocumentProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Document")),
+			connect.WithClientOptions(opts...),
+		),
 		share: connect.NewClient[v1.ShareRequest, v1.ShareResponse](
 			httpClient,
 			baseURL+FleetServiceShareProcedure,
@@ -77,8 +87,9 @@
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	watch *connect.Client[v1.WatchFleetRequest, v1.FleetEvent]
-	share *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	watch    *connect.Client[v1.WatchFleetRequest, v1.FleetEvent]
+	document *connect.Client[v1.DocumentRequest, v1.DocumentResponse]
+	share    *connect.Client[v1.ShareRequest, v1.ShareResponse]
 }
 
 // Watch calls trefoilkeel.v1.FleetService.Watch.
@@ -86,6 +97,11 @@
 	return c.watch.CallServerStream(ctx, req)
 }
 
+// Document calls trefoilkeel.v1.FleetService.Document.
+func (c *fleetServiceClient) Document(ctx context.Context, req *connect.Request[v1.DocumentRequest]) (*connect.Response[v1.DocumentResponse], error) {
+	return c.document.CallUnary(ctx, req)
+}
+
 // Share calls trefoilkeel.v1.FleetService.Share.
 func (c *fleetServiceClient) Share(ctx context.Context, req *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
 	return c.share.CallUnary(ctx, req)
@@ -96,6 +112,8 @@
 	// Watch sends what the host knows at once, then every change, and a
 	// keep-alive while nothing changes.
 	Watch(context.Context, *connect.Request[v1.WatchFleetRequest], *connect.ServerStream[v1.FleetEvent]) error
+	// Document returns the newest document that the host has applied.
+	Document(context.Context, *connect.Request[v1.DocumentRequest]) (*connect.Response[v1.DocumentResponse], error)
 	// Share takes what an entry has in flight and returns the sums of the others
 	// of its failure domain.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
@@ -114,6 +132,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceDocumentHandler := connect.NewUnaryHandler(
+		FleetServiceDocumentProcedure,
+		svc.Document,
+		connect.WithSchema(fleetServiceMethods.ByName("Document")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceShareHandler := connect.NewUnaryHandler(
 		FleetServiceShareProcedure,
 		svc.Share,
@@ -124,6 +148,8 @@
 		switch r.URL.Path {
 		case FleetServiceWatchProcedure:
 			fleetServiceWatchHandler.ServeHTTP(w, r)
+		case FleetServiceDocumentProcedure:
+			fleetServiceDocumentHandler.ServeHTTP(w, r)
 		case FleetServiceShareProcedure:
 			fleetServiceShareHandler.ServeHTTP(w, r)
 		default:
@@ -139,6 +165,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.Watch is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) Document(context.Context, *connect.Request[v1.DocumentRequest]) (*connect.Response[v1.DocumentResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.Document is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.Share is not implemented"))
 }
--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -18,11 +18,12 @@
 type Share struct {
 	Running, Waiting, Unread int
 	Urgent                   int // of all, those with a short gap target
+	Heat                     int // prompt tokens sent lately
 }
 
 // Add returns the sum of two shares.
 func (s Share) Add(o Share) Share {
-	return Share{Running: s.Running + o.Running, Waiting: s.Waiting + o.Waiting, Unread: s.Unread + o.Unread, Urgent: s.Urgent + o.Urgent}
+	return Share{Running: s.Running + o.Running, Waiting: s.Waiting + o.Waiting, Unread: s.Unread + o.Unread, Urgent: s.Urgent + o.Urgent, Heat: s.Heat + o.Heat}
 }
 
 // Attempt is a request on its way at an endpoint.
@@ -140,11 +141,12 @@
 }
 
 // Shares returns what this entry has in flight, by endpoint.
-func (t *Table) Shares() map[string]Share {
+func (t *Table) Shares(now time.Time) map[string]Share {
 	shares := map[string]Share{}
 	for id, e := range t.endpoints {
-		if e.running+e.waiting > 0 {
-			shares[id] = Share{Running: e.running, Waiting: e.waiting, Unread: e.unread, Urgent: e.urgent}
+		share := Share{Running: e.running, Waiting: e.waiting, Unread: e.unread, Urgent: e.urgent, Heat: e.heat.at(now)}
+		if share != (Share{}) {
+			shares[id] = share
 		}
 	}
 	return shares
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -133,7 +133,7 @@
 	c.Cost += e.crowding(now, r, c.Unread) + time.Duration(max(e.errors.at(now)-t.usualErrors(now, r.Service)-errorSlack, 0)*float64(errorCost))
 	if e.cross {
 		c.First += t.config.CrossTrip
-		c.Cost += t.config.CrossTrip + time.Duration(r.Bytes)*t.config.CrossByte
+		c.Cost += t.config.CrossTrip + time.Duration(r.Bytes+r.Answer*answerBytes)*t.config.CrossByte
 	}
 	if e.State == directory.Silent && now.Sub(e.answeredAt) > answeredAge {
 		c.Cost += silentCost
@@ -141,6 +141,9 @@
 	return c
 }
 
+// answerBytes is about what a token of an answer takes in a stream.
+const answerBytes = 12
+
 // sharedTokens counts the tokens that other requests may share.
 func sharedTokens(parts []Part) int {
 	total := 0
--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -12,13 +12,13 @@
 	shortGap = 200 * time.Millisecond
 	// crowdGap divided by a stream's gap target is what one request beside it
 	// costs.
-	crowdGap = 900 * time.Millisecond
+	crowdGap = 250 * time.Millisecond
 	// disturbShare is the part of its reading time that a prompt costs for each
 	// urgent stream beside it.
 	disturbShare = 0.15
 	// heatShare is the part of the reading time of recent prompts that a stream
 	// with a short gap target expects to meet again.
-	heatShare = 0.5
+	heatShare = 2
 	heatTime  = 1500 * time.Millisecond // in which two thirds of the heat are gone
 
 	// errorCost is what an endpoint costs that answers nothing but errors.
@@ -44,7 +44,7 @@
 	running, waiting, _ := e.demand(now)
 	cost := time.Duration(float64(running+waiting) * float64(crowdGap) / float64(r.Gap) * float64(time.Millisecond))
 	if r.urgent() > 0 {
-		return cost + time.Duration(heatShare*float64(readTime(e.heat.at(now))))
+		return cost + time.Duration(heatShare*float64(readTime(e.heat.at(now)+e.others.Heat)))
 	}
 	beside := e.urgent + e.others.Urgent
 	return cost + time.Duration(disturbShare*float64(beside)*float64(readTime(unread)))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	follower *fleet.Follower
 	index    atomic.Pointer[catalog.Index]
 	stopping atomic.Bool
+	stopAt   atomic.Pointer[time.Time]
 	ready    atomic.Bool
 
 	mu           sync.Mutex
@@ -70,7 +71,7 @@
 func New(o Options) *Entry {
 	e := &Entry{options: o, entries: 1, configured: make(chan struct{})}
 	e.router = forward.New(forward.Options{Balance: o.Balance, Budget: o.Budget, Dialect: o.Dialect, Logger: o.Logger, Metrics: o.Metrics})
-	e.follower = fleet.NewFollower(fleet.FollowerOptions{Entry: o.Name, Seeds: o.ControlURLs, HTTP: o.HTTP, Consumer: e, Logger: o.Logger})
+	e.follower = fleet.NewFollower(fleet.FollowerOptions{Entry: o.Name, Domain: o.Domain, Seeds: o.ControlURLs, HTTP: o.HTTP, Consumer: e, Logger: o.Logger})
 	return e
 }
 
@@ -132,16 +133,27 @@
 	return e.index.Load()
 }
 
-// Serve answers a request; see forward.Router.
+// elsewhere is when to come back to another entry: at once.
+const elsewhere = 10 * time.Millisecond
+
+// Serve answers a request; see forward.Router. A stopping entry declines a
+// stream that may outlast it, so that it isn't cut.
 func (e *Entry) Serve(ctx context.Context, w http.ResponseWriter, r *forward.Request) error {
+	if until := e.stopAt.Load(); until != nil && r.Route.Kind == catalog.Stream && r.Deadline.After(*until) {
+		e.options.Logger.Info("request declined at stop", "request", r.ID, "route", r.Route.Name, "left_ms", time.Until(*until).Milliseconds())
+		return &forward.Refusal{Reason: forward.Unavailable, Detail: "this entry stops; another one serves", RetryAfter: elsewhere}
+	}
 	return e.router.Serve(ctx, w, r)
 }
 
 // SetControlURLs replaces the control hosts to begin with.
 func (e *Entry) SetControlURLs(urls []string) { e.follower.SetSeeds(urls) }
 
-// Stop makes the entry not ready; it goes on serving.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Stop makes the entry not ready; it goes on serving until a time.
+func (e *Entry) Stop(until time.Time) {
+	e.stopAt.Store(&until)
+	e.stopping.Store(true)
+}
 
 // Stopping reports whether a stop has begun.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -22,7 +22,7 @@
 	// which are told to close: the balancer needs two checks a second apart.
 	noticePeriod = 2300 * time.Millisecond
 	// stopMargin is what is left of the grace period when requests are cut.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
 )
 
 // ServeCallers serves until ctx ends, then for a part of the grace period: open
@@ -38,7 +38,7 @@
 		return errors.WithStack(&rpc.ServeError{Address: l.Addr().String(), Cause: err})
 	case <-ctx.Done():
 	}
-	e.Stop()
+	e.Stop(time.Now().Add(grace - stopMargin))
 	logger.Info("stopping", "grace_ms", grace.Milliseconds())
 	began := time.Now()
 	wait.For(context.WithoutCancel(ctx), min(noticePeriod, grace/2))
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -38,6 +38,7 @@
 // FollowerOptions sets up a Follower.
 type FollowerOptions struct {
 	Entry    string
+	Domain   string   // failure domain of the entry
 	Seeds    []string // base URLs
 	HTTP     *http.Client
 	Consumer Consumer
@@ -57,18 +58,21 @@
 	confirmed bool
 	entries   int
 	wake      chan struct{}
+	news      chan struct{} // a control host has a newer document
 }
 
 // host is one control host that is followed.
 type host struct {
-	live    bool // heard within silenceAfter
+	live    bool   // heard within silenceAfter
+	version uint64 // newest document there, confirmed
+	domain  string
 	entries int
 	cancel  context.CancelFunc
 }
 
 // NewFollower returns a follower that knows the seeds.
 func NewFollower(o FollowerOptions) *Follower {
-	return &Follower{options: o, seeds: o.Seeds, hosts: map[string]*host{}, dir: directory.New(), wake: make(chan struct{}, 1)}
+	return &Follower{options: o, seeds: o.Seeds, hosts: map[string]*host{}, dir: directory.New(), wake: make(chan struct{}, 1), news: make(chan struct{}, 1)}
 }
 
 // SetSeeds replaces the hosts to begin with.
@@ -91,6 +95,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	f.begin(ctx, group, f.options.Seeds)
+	group.Go(func() error { f.runFetch(ctx); return nil })
 	for {
 		select {
 		case <-ctx.Done():
@@ -142,10 +147,7 @@
 	defer cancel(nil)
 	silence := time.AfterFunc(silenceAfter, func() { cancel(&SilentError{After: silenceAfter}) })
 	defer silence.Stop()
-	f.mu.Lock()
-	version := f.version
-	f.mu.Unlock()
-	stream, err := client.Watch(ctx, connect.NewRequest(&pb.WatchFleetRequest{Entry: f.options.Entry, Version: version}))
+	stream, err := client.Watch(ctx, connect.NewRequest(&pb.WatchFleetRequest{Entry: f.options.Entry}))
 	if err != nil {
 		return false, err
 	}
@@ -201,9 +203,12 @@
 		f.options.Consumer.Endpoints(changed)
 	}
 	f.confirmed = f.confirmed || event.Confirmed
+	h.version, h.domain = event.Version, event.FailureDomain
 	if event.Version > f.version {
-		f.version = event.Version
-		f.options.Consumer.Document(event.Version, event.Document)
+		select {
+		case f.news <- struct{}{}:
+		default: // the fetch looks at every host anyway
+		}
 	}
 	if event.Entries > 0 {
 		h.entries = int(event.Entries)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -57,6 +57,7 @@
 	log       Log
 	machine   *document.Machine
 	minVoters int
+	domain    string
 	logger    *slog.Logger
 	started   time.Time
 	stopped   chan struct{} // closed when Run has returned
@@ -79,13 +80,14 @@
 type ServerOptions struct {
 	Log       Log
 	Machine   *document.Machine
-	MinVoters int // that keep the first document, while hosts are joining
+	Domain    string // failure domain of the host
+	MinVoters int    // that keep the first document, while hosts are joining
 	Logger    *slog.Logger
 }
 
 // NewServer returns the control side over a log.
 func NewServer(o ServerOptions) *Server {
-	return &Server{log: o.Log, machine: o.Machine, minVoters: o.MinVoters, logger: o.Logger, started: time.Now(),
+	return &Server{log: o.Log, machine: o.Machine, minVoters: o.MinVoters, domain: o.Domain, logger: o.Logger, started: time.Now(),
 		stopped: make(chan struct{}),
 		dir:     directory.New(), changed: make(chan struct{}), watchers: map[string]int{}, shares: map[string]entryShare{}}
 }
@@ -101,7 +103,11 @@
 	if err := s.formed(); err != nil {
 		return err
 	}
-	_, err := s.log.Propose(ctx, document.Command(version, content))
+	packed, err := document.Pack(content)
+	if err != nil {
+		return err
+	}
+	_, err = s.log.Propose(ctx, document.Command(version, packed))
 	return err
 }
 
@@ -128,8 +134,9 @@
 	if err := s.log.Confirm(ctx); err != nil {
 		return 0, nil, err
 	}
-	version, content, _ = s.machine.Current()
-	return version, content, nil
+	version, packed, _ := s.machine.Current()
+	content, err = document.Unpack(packed)
+	return version, content, err
 }
 
 // CheckIn takes an endpoint's report of itself.
@@ -193,7 +200,6 @@
 
 // watch is what one watcher has been sent.
 type watch struct {
-	version   uint64
 	confirmed bool
 	revision  uint64
 	entries   int
@@ -204,7 +210,7 @@
 func (s *Server) Watch(ctx context.Context, req *connect.Request[pb.WatchFleetRequest], stream *connect.ServerStream[pb.FleetEvent]) error {
 	s.addWatcher(req.Msg.Entry, 1)
 	defer s.addWatcher(req.Msg.Entry, -1)
-	w := &watch{version: req.Msg.Version}
+	w := &watch{}
 	confirmed := make(chan struct{})
 	go s.confirm(ctx, confirmed)
 	ticker := time.NewTicker(keepAlive)
@@ -263,14 +269,11 @@
 }
 
 // event gathers what a watcher lacks, and the channel that tells of the next
-// change. A document is sent only once it is confirmed.
+// change. The version of the document is told only once it is confirmed.
 func (s *Server) event(w *watch) (*pb.FleetEvent, <-chan struct{}) {
-	out := &pb.FleetEvent{Confirmed: w.confirmed}
+	out := &pb.FleetEvent{Confirmed: w.confirmed, FailureDomain: s.domain}
 	if w.confirmed {
-		if version, content, _ := s.machine.Current(); version > w.version {
-			out.Version, out.Document = version, content
-			w.version = version
-		}
+		out.Version, _, _ = s.machine.Current()
 	}
 	if members := s.log.Status().Members; len(members) != w.hosts {
 		w.hosts = len(members)
@@ -293,6 +296,12 @@
 	return out, s.changed
 }
 
+// Document returns the newest document that this host has applied.
+func (s *Server) Document(context.Context, *connect.Request[pb.DocumentRequest]) (*connect.Response[pb.DocumentResponse], error) {
+	version, content, _ := s.machine.Current()
+	return connect.NewResponse(&pb.DocumentResponse{Version: version, Content: content}), nil
+}
+
 // Share keeps what an entry has in flight and returns the sums of the others of
 // its failure domain.
 func (s *Server) Share(_ context.Context, req *connect.Request[pb.ShareRequest]) (*connect.Response[pb.ShareResponse], error) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -137,7 +137,7 @@
 func (f *Router) Shares() map[string]balance.Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.Shares()
+	return f.table.Shares(time.Now())
 }
 
 // Others takes what the other routers of the failure domain have in flight.
