Voters take turns in elections; keep urgent streams and long prompts apart

Urgent streams left the quiet engines because their own short prompts counted as heat, and half of the late ones paused beside long prompts. Change: campaign slots by the order of ids; heat counts what is beyond one chunk; a price on either kind in the other's place. Ruled out: load, the engines stood at a third of their slots.

--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -47,7 +47,8 @@
 	e.waiting++
 	e.unread += c.Unread
 	e.urgent += r.urgent()
-	e.heat.add(now, c.Unread)
+	// One chunk of a prompt is read within an ordinary step.
+	e.heat.add(now, max(c.Unread-chunkTokens, 0))
 	e.parts.use(now, r.Parts)
 	e.ejection.sent(now)
 	return &Attempt{endpoint: e, request: r, unread: c.Unread, first: c.First, sentAt: now}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -23,8 +23,8 @@
 	var choice Choice
 	for _, e := range fit {
 		c := t.estimate(now, e, &r, e == home)
-		if quiet && e.quiet && r.Prompt > 0 && r.urgent() == 0 {
-			c.Cost += quietCost
+		if quiet && r.Prompt > 0 {
+			c.Cost += e.placeCost(&r)
 		}
 		if best == nil || c.Cost < choice.Cost {
 			best, choice = e, c
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -16,6 +16,9 @@
 	quietFrom = 3
 	// quietCost is how much sooner a quiet endpoint must serve a prompt.
 	quietCost = 250 * time.Millisecond
+	// loudCost is how much sooner another endpoint must serve an urgent stream:
+	// long prompts will come there while it runs.
+	loudCost = 120 * time.Millisecond
 	// quietFor is how long endpoints stay quiet after the last urgent stream.
 	quietFor = 10 * time.Second
 )
@@ -45,6 +48,17 @@
 	}
 }
 
+// placeCost keeps long prompts and urgent streams apart.
+func (e *endpoint) placeCost(r *Request) time.Duration {
+	switch urgent := r.urgent() > 0; {
+	case urgent && !e.quiet:
+		return loudCost
+	case !urgent && e.quiet:
+		return quietCost
+	}
+	return 0
+}
+
 // keptQuiet reports whether the quiet endpoints of a service are to be kept so.
 func (t *Table) keptQuiet(now time.Time, service string) bool {
 	at, ok := t.urgentAt[service]
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -49,6 +49,17 @@
 	return n
 }
 
+// turn is the place of a voter in the order of ids.
+func (m *Membership) turn(id uint64) int {
+	turn := 0
+	for _, member := range m.Members {
+		if member.Voter && member.ID < id {
+			turn++
+		}
+	}
+	return turn
+}
+
 // quorum is the number of voters that decides.
 func (m *Membership) quorum() int { return m.voters()/2 + 1 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -65,9 +65,13 @@
 	return time.Duration(n.rng % uint64(limit))
 }
 
-// resetElection puts the next campaign off.
+// resetElection puts the next campaign off. The voters take turns within one
+// election timeout, so that after a restart of all two seldom campaign at once;
+// the jitter parts those that disagree about the membership.
 func (n *Node) resetElection() {
-	n.electionAt = n.now + n.cfg.ElectionTimeout + n.jitter(n.cfg.ElectionTimeout)
+	m, _ := n.log.membership()
+	slot := n.cfg.ElectionTimeout / time.Duration(max(m.voters(), 1))
+	n.electionAt = n.now + n.cfg.ElectionTimeout + time.Duration(m.turn(n.cfg.ID))*slot + n.jitter(max(slot/2, 1))
 }
 
 // Tick tells the time.
