Weigh waits against targets; share load within the failure domain

Cause: notes and payments left their failure domain for a gain of a few milliseconds that no target asks for, at the price of their bytes; exchanges of load went to one host for all failure domains. Change: a wait far below the target costs a quarter of its time; load is exchanged in the own domain.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,6 +27,7 @@
 	Answer  int           // tokens expected
 	Bytes   int           // of the body
 	Urgency int           // 0 first
+	Target  time.Duration // for the first event or the answer
 	Gap     time.Duration // longest pause between events that is on time; 0 without events
 	Tried   []string
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -125,7 +125,7 @@
 	held := e.parts.held(now, r.Parts)
 	c.Unread = max(r.Prompt-held, 0)
 	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * e.speedNow(now))
-	c.Cost = c.First
+	c.Cost = timeCost(c.First, r.Target)
 	if !home {
 		// Reading the shared parts at their home is paid once, for all that follow.
 		c.Cost += time.Duration(max(sharedTokens(r.Parts)-held, 0)) * t.config.ReadToken
@@ -141,6 +141,23 @@
 	return c
 }
 
+// Weights of a wait: one far below the target costs little, since it may as
+// well be somewhat longer.
+const (
+	fullCostPart = 0.6 // of the target, from which a wait costs its whole time
+	minTimeCost  = 0.25
+	maxTimeCost  = 2.0
+)
+
+// timeCost weighs an expected wait against its target, 0 for none.
+func timeCost(first, target time.Duration) time.Duration {
+	if target <= 0 {
+		return first
+	}
+	weight := float64(first) / (fullCostPart * float64(target))
+	return time.Duration(min(max(weight, minTimeCost), maxTimeCost) * float64(first))
+}
+
 // answerBytes is about what a token of an answer takes in a stream.
 const answerBytes = 12
 
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -269,14 +269,16 @@
 	return sharesFromProto(response.Msg.Shares), nil
 }
 
-// shareHost is the live host that all entries choose alike.
+// shareHost is the live host that all entries of a failure domain choose alike,
+// in it if there is one.
 func (f *Follower) shareHost() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	chosen := ""
+	chosen, own := "", false
 	for url, h := range f.hosts {
-		if h.live && (chosen == "" || url < chosen) {
-			chosen = url
+		near := h.domain == f.options.Domain
+		if h.live && (chosen == "" || near && !own || near == own && url < chosen) {
+			chosen, own = url, near
 		}
 	}
 	return chosen
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -120,7 +120,7 @@
 // part of the target.
 func (s *serving) choose(ctx context.Context) error {
 	wanted := balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
-		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Gap: s.request.Route.GapTarget, Tried: s.tried}
+		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
 	began := time.Now()
 	for {
 		now := time.Now()
