Let long prompts cost more on quiet engines

Cause: in a burst of long prompts they spilled onto the engines of the urgent streams, which then paused at 150 to 170 ms.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -24,7 +24,7 @@
 	for _, e := range fit {
 		c := t.estimate(now, e, &r, e == home)
 		if quiet && r.Prompt > 0 {
-			c.Cost += e.placeCost(&r)
+			c.Cost += e.placeCost(&r, c.Unread)
 		}
 		if best == nil || c.Cost < choice.Cost {
 			best, choice = e, c
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -16,6 +16,8 @@
 	quietFrom = 3
 	// quietCost is how much sooner a quiet endpoint must serve a prompt.
 	quietCost = 250 * time.Millisecond
+	// quietTokenCost is what each prompt token beyond a chunk adds to that.
+	quietTokenCost = 100 * time.Microsecond
 	// loudCost is how much sooner another endpoint must serve an urgent stream:
 	// long prompts will come there while it runs.
 	loudCost = 120 * time.Millisecond
@@ -49,12 +51,12 @@
 }
 
 // placeCost keeps long prompts and urgent streams apart.
-func (e *endpoint) placeCost(r *Request) time.Duration {
+func (e *endpoint) placeCost(r *Request, unread int) time.Duration {
 	switch urgent := r.urgent() > 0; {
 	case urgent && !e.quiet:
 		return loudCost
 	case !urgent && e.quiet:
-		return quietCost
+		return quietCost + time.Duration(max(unread-chunkTokens, 0))*quietTokenCost
 	}
 	return 0
 }
