Test formation through seeds, and take back hosts that were only cut off

Ruled out: replication, it was at the same term and formation. Change: forgetting retires no folder; a host that is no voter asks to join again when no leader is heard.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -88,7 +88,7 @@
 const absentTimeouts = 3
 
 // forgetTimeouts is after how many election timeouts of silence an ephemeral
-// member is forgotten; it can only come back with another folder.
+// member is forgotten; most of them come back with another folder.
 const forgetTimeouts = 10
 
 // handOverTemporary ends the vote of ephemeral members once enough lasting
@@ -128,7 +128,10 @@
 			_, _, err := n.proposeMembership(m.with(member))
 			return err == nil
 		case !member.Voter && member.Ephemeral && silence > forgetTimeouts*n.cfg.ElectionTimeout:
-			_, _, err := n.proposeMembership(m.without(member.ID))
+			next := m.without(member.ID)
+			// It may only have been cut off: its folder may join again.
+			next.Retired = slices.Clone(m.Retired)
+			_, _, err := n.proposeMembership(next)
 			return err == nil
 		}
 	}
@@ -149,13 +152,16 @@
 	return !p.probing && p.match >= n.commit && n.now-p.heard < n.cfg.ElectionTimeout
 }
 
-// tickJoin asks to be admitted while this data folder is unknown.
+// tickJoin asks to be admitted while this data folder is unknown, or may have
+// been forgotten while it was cut off.
 func (n *Node) tickJoin() {
 	if n.now < n.joinAt {
 		return
 	}
 	m, _ := n.log.membership()
-	if n.hard.Formation != 0 && m.isRegistered(n.cfg.ID, n.cfg.Disk) {
+	silent := n.now - n.promiseUntil
+	registered := n.hard.Formation != 0 && m.isRegistered(n.cfg.ID, n.cfg.Disk)
+	if registered && (n.role == Leader || n.isVoter() || silent < absentTimeouts*n.cfg.ElectionTimeout) {
 		return
 	}
 	if n.founder() && len(n.missingPeers()) == 0 {
--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -41,6 +41,8 @@
 
 	wipes, installs, changes int // what came about
 
+	configure func(h *testHost, cfg *Config) // differences from the ordinary set-up, or nil
+
 	leaders   map[uint64]uint64    // term to data folder
 	entries   map[[2]uint64]string // index and term to content
 	committed map[uint64]string    // index to state afterwards
@@ -49,8 +51,11 @@
 
 const testHeartbeat = DefaultHeartbeat
 
-func newNetwork(t failer, rates []int64) *network {
-	w := &network{t: t, cut: map[[2]uint64]bool{}, leaders: map[uint64]uint64{},
+func newNetwork(t failer, rates []int64) *network { return newNetworkOf(t, rates, nil) }
+
+// newNetworkOf sets the hosts up differently.
+func newNetworkOf(t failer, rates []int64, configure func(h *testHost, cfg *Config)) *network {
+	w := &network{t: t, configure: configure, cut: map[[2]uint64]bool{}, leaders: map[uint64]uint64{},
 		entries: map[[2]uint64]string{}, committed: map[uint64]string{}}
 	for i, rate := range rates {
 		h := &testHost{id: uint64(i + 1), rate: rate, disk: 1000 * uint64(i+1)}
@@ -74,6 +79,9 @@
 	h.applied, h.state = h.stored.Snapshot.Index, string(h.stored.Snapshot.Data)
 	cfg := Config{ID: h.id, Disk: h.disk, Run: w.runs, Bootstrap: h.id <= 3, Seed: w.runs*7919 + h.id}
 	cfg.Peers = []Member{{ID: 1}, {ID: 2}, {ID: 3}}
+	if w.configure != nil {
+		w.configure(h, &cfg)
+	}
 	stored := h.stored
 	stored.Entries = append([]Entry(nil), stored.Entries...)
 	node, err := New(cfg, stored, 0)
