Test what is certain of a request, choices, budgets, and the directory

Cause: the modules of the platform's path had no tests. Added: a stream is kept from endpoints that are slower than the others.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -104,7 +104,8 @@
 type endpoint struct {
 	directory.Endpoint
 	cross bool
-	quiet bool // kept free of long prompts
+	hash  uint64 // of the id
+	quiet bool   // kept free of long prompts
 
 	running int // our requests past their first event
 	waiting int // our requests before it
@@ -153,7 +154,7 @@
 		return
 	}
 	t.drop(known)
-	added := &endpoint{Endpoint: e, cross: e.Domain != t.config.Domain, speed: 1, parts: newPartCache(), maxRequests: maxRequests}
+	added := &endpoint{Endpoint: e, cross: e.Domain != t.config.Domain, hash: hashID(e.ID), speed: 1, parts: newPartCache(), maxRequests: maxRequests}
 	t.endpoints[e.ID] = added
 	t.services[e.Service] = append(t.services[e.Service], added)
 	t.setQuiet(e.Service)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -17,23 +17,54 @@
 	if r.urgent() > 0 {
 		t.urgentAt[r.Service] = now
 	}
-	quiet := t.keptQuiet(now, r.Service)
-	home := t.home(fit, &r, quiet)
+	w := t.weigh(now, &r)
+	w.home = t.home(fit, &r, w.quiet)
 	var best *endpoint
 	var choice Choice
-	for _, e := range fit {
-		c := t.estimate(now, e, &r, e == home)
-		if quiet && r.Prompt > 0 {
-			c.Cost += e.placeCost(&r, c.Unread)
+	for _, cross := range []bool{false, true} {
+		if cross && best != nil && choice.Cost <= t.crossCost(&r) {
+			break // no other failure domain can be cheaper
 		}
-		if best == nil || c.Cost < choice.Cost {
-			best, choice = e, c
+		for _, e := range fit {
+			if e.cross != cross {
+				continue
+			}
+			if c := t.estimate(e, &w); best == nil || c.Cost < choice.Cost {
+				best, choice = e, c
+			}
 		}
 	}
 	choice.Of = len(fit)
 	return choice, nil
 }
 
+// weighing is what the estimates of one choice have in common.
+type weighing struct {
+	now          time.Time
+	request      *Request
+	home         *endpoint
+	quiet        bool    // quiet endpoints are kept so
+	usualErrors  float64 // mean share of errors
+	usualSpeed   float64 // mean learned speed
+	sharedTokens int
+}
+
+// weigh gathers what the estimates have in common.
+func (t *Table) weigh(now time.Time, r *Request) weighing {
+	w := weighing{now: now, request: r, quiet: t.keptQuiet(now, r.Service), sharedTokens: sharedTokens(r.Parts)}
+	all := t.services[r.Service]
+	for _, e := range all {
+		w.usualErrors += e.errors.at(now) / float64(len(all))
+		w.usualSpeed += e.speedNow(now) / float64(len(all))
+	}
+	return w
+}
+
+// crossCost is what leaving the failure domain costs a request.
+func (t *Table) crossCost(r *Request) time.Duration {
+	return t.config.CrossTrip + time.Duration(r.Bytes+r.Answer*answerBytes)*t.config.CrossByte
+}
+
 // filter returns the endpoints that may take a request. Endpoints that failed
 // are left out unless that would leave none.
 func (t *Table) filter(now time.Time, r *Request) ([]*endpoint, NoEndpointError) {
@@ -83,7 +114,7 @@
 		if e.cross || quiet && e.quiet {
 			continue
 		}
-		if weight := mix(key ^ hashID(e.ID)); home == nil || weight > best {
+		if weight := mix(key ^ e.hash); home == nil || weight > best {
 			home, best = e, weight
 		}
 	}
@@ -117,30 +148,44 @@
 }
 
 // estimate is what a request would meet at an endpoint, and what that costs.
-func (t *Table) estimate(now time.Time, e *endpoint, r *Request, home bool) Choice {
+func (t *Table) estimate(e *endpoint, w *weighing) Choice {
+	now, r := w.now, w.request
 	c := Choice{ID: e.ID, Address: e.Address, Cross: e.cross}
 	if !e.loadAt.IsZero() {
 		c.Reported = now.Sub(e.loadAt)
 	}
 	held := e.parts.held(now, r.Parts)
 	c.Unread = max(r.Prompt-held, 0)
-	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * e.speedNow(now))
+	speed := e.speedNow(now)
+	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * speed)
 	c.Cost = timeCost(c.First, r.Target)
-	if !home {
+	if e != w.home {
 		// Reading the shared parts at their home is paid once, for all that follow.
-		c.Cost += time.Duration(max(sharedTokens(r.Parts)-held, 0)) * t.config.ReadToken
+		c.Cost += time.Duration(max(w.sharedTokens-held, 0)) * t.config.ReadToken
+	}
+	c.Cost += e.crowding(now, r, c.Unread) + e.faults(w, speed)
+	if w.quiet && r.Prompt > 0 {
+		c.Cost += e.placeCost(r, c.Unread)
 	}
-	c.Cost += e.crowding(now, r, c.Unread) + time.Duration(max(e.errors.at(now)-t.usualErrors(now, r.Service)-errorSlack, 0)*float64(errorCost))
 	if e.cross {
 		c.First += t.config.CrossTrip
-		c.Cost += t.config.CrossTrip + time.Duration(r.Bytes+r.Answer*answerBytes)*t.config.CrossByte
-	}
-	if e.State == directory.Silent && now.Sub(e.answeredAt) > answeredAge {
-		c.Cost += silentCost
+		c.Cost += t.crossCost(r)
 	}
 	return c
 }
 
+// faults is what an endpoint costs that does worse than the others.
+func (e *endpoint) faults(w *weighing, speed float64) time.Duration {
+	cost := time.Duration(max(e.errors.at(w.now)-w.usualErrors-errorSlack, 0) * float64(errorCost))
+	if w.request.Gap > 0 {
+		cost += time.Duration(max(speed-slowFrom*max(w.usualSpeed, 1), 0) * float64(slowCost))
+	}
+	if e.State == directory.Silent && w.now.Sub(e.answeredAt) > answeredAge {
+		cost += silentCost
+	}
+	return cost
+}
+
 // Weights of a wait: one far below the target costs little, since it may as
 // well be somewhat longer.
 const (
--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Costs of a crowded engine: each request makes every step longer, and each
 // prompt that is read stretches the pauses of the streams that run beside it.
@@ -26,6 +23,11 @@
 	errorSlack  = 0.15            // above the usual share that costs nothing
 	errorWeight = 0.15            // of one answer
 	errorTime   = 3 * time.Second // in which two thirds of the memory are gone
+
+	// slowCost is what a stream loses at an endpoint for each time that its speed
+	// is worse than slowFrom times the usual one: its events pause longer, too.
+	slowCost = 300 * time.Millisecond
+	slowFrom = 1.7
 )
 
 // urgent counts a request that is disturbed by prompts beside it.
@@ -62,7 +64,12 @@
 }
 
 // at is the heat at a time.
-func (h *heat) at(now time.Time) int { return int(h.tokens * decay(now.Sub(h.since), heatTime)) }
+func (h *heat) at(now time.Time) int {
+	if h.tokens == 0 {
+		return 0
+	}
+	return int(h.tokens * decay(now.Sub(h.since), heatTime))
+}
 
 // add notes tokens that are sent.
 func (h *heat) add(now time.Time, tokens int) {
@@ -78,7 +85,12 @@
 }
 
 // at is the share at a time.
-func (s *errorShare) at(now time.Time) float64 { return s.share * decay(now.Sub(s.since), errorTime) }
+func (s *errorShare) at(now time.Time) float64 {
+	if s.share == 0 {
+		return 0
+	}
+	return s.share * decay(now.Sub(s.since), errorTime)
+}
 
 // add notes an answer, 1 for an error.
 func (s *errorShare) add(now time.Time, value float64) {
@@ -86,14 +98,8 @@
 	s.share, s.since = present+errorWeight*(value-present), now
 }
 
-// usualErrors is the mean share of errors of a service's endpoints.
-func (t *Table) usualErrors(now time.Time, service string) float64 {
-	total := 0.0
-	for _, e := range t.services[service] {
-		total += e.errors.at(now)
-	}
-	return total / float64(max(len(t.services[service]), 1))
+// decay is about exp(-age/time), which is what is left after an age.
+func decay(age, time time.Duration) float64 {
+	x := float64(max(age, 0)) / float64(time)
+	return 1 / (1 + x*(1+x*(0.5+x/6)))
 }
-
-// decay is what is left after a time.
-func decay(age, time time.Duration) float64 { return math.Exp(-float64(max(age, 0)) / float64(time)) }
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		slices.SortFunc(all, func(a, b *endpoint) int {
-			if mix(hashID(a.ID)) < mix(hashID(b.ID)) {
+			if mix(a.hash) < mix(b.hash) {
 				return -1
 			}
 			return 1
--- /dev/null
+++ b/internal/document/document_test.go
@@ -0,0 +1,82 @@
+package document
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// rapidSeed makes every run draw the same cases; a flag overrides it.
+const rapidSeed = "20261203"
+
+func init() { _ = flag.Set("rapid.seed", rapidSeed) }
+
+// Whatever the order of the commands, over snapshots at any place: the highest
+// version is kept with the content that came first under it, and it never falls.
+func TestHighestVersionWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, highest, content := New(), uint64(0), ""
+		for i, version := range rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 40).Draw(t, "versions") {
+			text := rapid.StringMatching("[a-z]{0,5}").Draw(t, "content")
+			if version > highest {
+				highest, content = version, text
+			}
+			m.Apply(uint64(i+1), Command(version, []byte(text)))
+			if rapid.Bool().Draw(t, "restart") {
+				m = restored(t, m)
+			}
+			present, kept, _ := m.Current()
+			if present != highest || string(kept) != content {
+				t.Fatalf("version %d %q, want %d %q", present, kept, highest, content)
+			}
+		}
+	})
+}
+
+// restored is a machine over another one's snapshot.
+func restored(t *rapid.T, m *Machine) *Machine {
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatalf("snapshot: %v", err)
+	}
+	next := New()
+	if err := next.Restore(snapshot); err != nil {
+		t.Fatalf("restore: %v", err)
+	}
+	return next
+}
+
+func TestChangesAreTold(t *testing.T) {
+	g := NewWithT(t)
+	m := New()
+	_, _, changed := m.Current()
+	m.Apply(1, Command(1, []byte("a")))
+	g.Expect(changed).To(BeClosed())
+	_, _, changed = m.Current()
+	m.Apply(2, Command(1, []byte("b")))
+	g.Consistently(changed, "20ms").ShouldNot(BeClosed())
+}
+
+func TestBrokenStateIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	var corrupt *CorruptError
+	g.Expect(New().Restore([]byte{1})).To(BeAssignableToTypeOf(corrupt))
+	m := New()
+	m.Apply(1, []byte{1, 2})
+	version, _, _ := m.Current()
+	g.Expect(version).To(BeZero())
+}
+
+func TestPack(t *testing.T) {
+	g := NewWithT(t)
+	content := make([]byte, 100_000)
+	packed, err := Pack(content)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(packed)).To(BeNumerically("<", len(content)/100))
+	g.Expect(Unpack(packed)).To(Equal(content))
+	g.Expect(Unpack(nil)).To(BeEmpty())
+	_, err = Unpack([]byte("no archive"))
+	g.Expect(err).To(HaveOccurred())
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// soloLog is a log of one host that can be cut off from its quorum.
+type soloLog struct {
+	*replica.Solo
+	cut     atomic.Bool
+	members []replica.Member
+}
+
+func (l *soloLog) Confirm(context.Context) error {
+	if l.cut.Load() {
+		return &replica.NotRecorded{Reason: "no quorum"}
+	}
+	return nil
+}
+
+func (l *soloLog) Status() replica.Status { return replica.Status{Members: l.members} }
+
+// controlHost is a control host of a test.
+type controlHost struct {
+	*Server
+	log  *soloLog
+	http *httptest.Server
+}
+
+// newControlHost starts one in a failure domain.
+func newControlHost(t *testing.T, domain string) *controlHost {
+	machine := document.New()
+	log := &soloLog{Solo: replica.NewSolo(machine), members: []replica.Member{{ID: 1, Voter: true}}}
+	h := &controlHost{log: log, Server: NewServer(ServerOptions{Log: log, Machine: machine, Domain: domain, MinVoters: 1, Logger: quiet})}
+	path, handler := h.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	h.http = httptest.NewServer(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = h.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; h.http.CloseClientConnections(); h.http.Close() })
+	return h
+}
+
+// consumer keeps what a follower hears.
+type consumer struct {
+	mu        sync.Mutex
+	versions  []uint64
+	content   string
+	endpoints map[string]directory.State
+	entries   int
+}
+
+func (c *consumer) Document(version uint64, content []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.versions, c.content = append(c.versions, version), string(content)
+}
+
+func (c *consumer) Endpoints(changed []directory.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range changed {
+		c.endpoints[e.ID] = e.State
+	}
+}
+
+func (c *consumer) Entries(count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = count
+}
+
+func (c *consumer) get() (versions []uint64, content string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]uint64(nil), c.versions...), c.content
+}
+
+func (c *consumer) state(id string) func() directory.State {
+	return func() directory.State {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.endpoints[id]
+	}
+}
+
+// follow starts an entry's follower over hosts.
+func follow(t *testing.T, name string, hosts ...*controlHost) (*Follower, *consumer) {
+	c := &consumer{endpoints: map[string]directory.State{}}
+	var urls []string
+	for _, h := range hosts {
+		urls = append(urls, h.http.URL)
+	}
+	f := NewFollower(FollowerOptions{Entry: name, Domain: "a", Seeds: urls, HTTP: &http.Client{Transport: &http.Transport{}}, Consumer: c, Logger: quiet})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f, c
+}
+
+func endpoint(id string, sequence uint64, state directory.State) directory.Endpoint {
+	return directory.Endpoint{ID: id, Service: "s", Address: id + ":1", Domain: "a", Slots: 4, State: state, Born: 1, Sequence: sequence, HeardAt: time.Now()}
+}
+
+func TestConfigurationReachesEntries(t *testing.T) {
+	g := NewWithT(t)
+	host := newControlHost(t, "a")
+	g.Expect(host.Put(context.Background(), 3, []byte("three"))).To(Succeed())
+	f, c := follow(t, "e1", host)
+	g.Eventually(func() string { _, content := c.get(); return content }, "3s").Should(Equal("three"))
+	g.Expect(host.Put(context.Background(), 7, []byte("seven"))).To(Succeed())
+	g.Eventually(func() string { _, content := c.get(); return content }, "1s", "5ms").Should(Equal("seven"))
+	g.Expect(host.Put(context.Background(), 5, []byte("five"))).To(Succeed(), "an overtaken one is acknowledged")
+	g.Expect(host.Put(context.Background(), 7, []byte("other"))).To(Succeed())
+	version, content, err := host.Get(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(version).To(Equal(uint64(7)))
+	g.Expect(string(content)).To(Equal("seven"))
+	g.Consistently(func() string { _, content := c.get(); return content }, "100ms").Should(Equal("seven"))
+	g.Expect(f.Status().Confirmed).To(BeTrue())
+}
+
+// A control host that can't reach a quorum may hold an old configuration: it
+// shows none, neither to the operator nor to an entry that has just started,
+// but goes on with the directory.
+func TestNothingUnconfirmedIsShown(t *testing.T) {
+	g := NewWithT(t)
+	host := newControlHost(t, "a")
+	g.Expect(host.Put(context.Background(), 3, []byte("three"))).To(Succeed())
+	host.log.cut.Store(true)
+	_, _, err := host.Get(context.Background())
+	g.Expect(err).To(HaveOccurred())
+	f, c := follow(t, "e1", host)
+	host.CheckIn(endpoint("x", 1, directory.Ready))
+	g.Eventually(c.state("x"), "3s").Should(Equal(directory.Ready))
+	g.Consistently(func() bool { versions, _ := c.get(); return len(versions) == 0 && !f.Status().Confirmed }, "300ms").Should(BeTrue())
+	host.log.cut.Store(false)
+	g.Eventually(func() string { _, content := c.get(); return content }, "3s").Should(Equal("three"))
+}
+
+// An entry never goes back: a host that is behind is not believed.
+func TestEntriesNeverGoBack(t *testing.T) {
+	g := NewWithT(t)
+	ahead, behind := newControlHost(t, "a"), newControlHost(t, "b")
+	g.Expect(behind.Put(context.Background(), 3, []byte("three"))).To(Succeed())
+	g.Expect(ahead.Put(context.Background(), 3, []byte("three"))).To(Succeed())
+	g.Expect(ahead.Put(context.Background(), 4, []byte("four"))).To(Succeed())
+	_, c := follow(t, "e1", ahead, behind)
+	g.Eventually(func() string { _, content := c.get(); return content }, "3s").Should(Equal("four"))
+	g.Expect(behind.Put(context.Background(), 5, []byte("five"))).To(Succeed())
+	g.Eventually(func() string { _, content := c.get(); return content }, "3s").Should(Equal("five"), "fetched from another failure domain")
+	versions, _ := c.get()
+	for i := 1; i < len(versions); i++ {
+		g.Expect(versions[i]).To(BeNumerically(">", versions[i-1]))
+	}
+}
+
+// Endpoints report to different hosts from time to time; an entry hears of a
+// drain from whichever host got it, and the loss of hosts removes no endpoint.
+func TestDirectoryIsMerged(t *testing.T) {
+	g := NewWithT(t)
+	one, two := newControlHost(t, "a"), newControlHost(t, "b")
+	one.CheckIn(endpoint("x", 1, directory.Ready))
+	_, c := follow(t, "e1", one, two)
+	g.Eventually(c.state("x"), "3s").Should(Equal(directory.Ready))
+	two.CheckIn(endpoint("x", 2, directory.Draining))
+	g.Eventually(c.state("x"), "500ms", "5ms").Should(Equal(directory.Draining))
+	one.CheckIn(endpoint("x", 1, directory.Ready)) // late
+	two.CheckIn(endpoint("y", 1, directory.Ready))
+	g.Eventually(c.state("y"), "500ms").Should(Equal(directory.Ready))
+	g.Expect(c.state("x")()).To(Equal(directory.Draining))
+	one.Leave("x", 0, time.Now())
+	g.Eventually(c.state("x"), "500ms").Should(Equal(directory.Gone))
+	two.http.CloseClientConnections()
+	two.http.Listener.Close()
+	g.Consistently(c.state("y"), "2s").Should(Equal(directory.Ready))
+}
+
+// A control host that goes mute without closing anything is left in time.
+func TestMuteHostIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	mute := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(func() { mute.CloseClientConnections(); mute.Close() })
+	host := newControlHost(t, "a")
+	f, c := follow(t, "e1", host, &controlHost{http: mute})
+	g.Expect(host.Put(context.Background(), 1, []byte("one"))).To(Succeed())
+	g.Eventually(func() string { _, content := c.get(); return content }, "3s").Should(Equal("one"))
+	g.Expect(f.Status().Live).To(Equal(1))
+	g.Expect(f.Status().Hosts).To(Equal(2))
+}
+
+func TestEntriesAreCountedAndShareTheirLoad(t *testing.T) {
+	g := NewWithT(t)
+	host := newControlHost(t, "a")
+	one, c := follow(t, "e1", host)
+	two, _ := follow(t, "e2", host)
+	entries := func() int { c.mu.Lock(); defer c.mu.Unlock(); return c.entries }
+	g.Eventually(entries, "3s").Should(Equal(2))
+	g.Eventually(func() int { return two.Status().Live }, "3s").Should(Equal(1))
+	mine := map[string]balance.Share{"x": {Running: 2, Waiting: 1, Unread: 500, Urgent: 1, Heat: 70}}
+	_, err := one.Share(context.Background(), "a", mine)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(two.Share(context.Background(), "a", nil)).To(Equal(mine))
+	g.Expect(two.Share(context.Background(), "b", nil)).To(BeEmpty(), "another failure domain")
+	g.Expect(one.Share(context.Background(), "a", nil)).To(BeEmpty(), "its own is not told back")
+}
+
+// The first configuration is kept only once enough hosts vote.
+func TestFirstConfigurationWaitsForVoters(t *testing.T) {
+	g := NewWithT(t)
+	host := newControlHost(t, "a")
+	host.minVoters = 3
+	var forming *FormingError
+	g.Expect(errors.As(host.Put(context.Background(), 1, []byte("one")), &forming)).To(BeTrue())
+	host.log.members = []replica.Member{{Voter: true}, {Voter: true}, {Voter: true}}
+	g.Expect(host.Put(context.Background(), 1, []byte("one"))).To(Succeed())
+	host.log.members = host.log.members[:1]
+	g.Expect(host.Put(context.Background(), 2, []byte("two"))).To(Succeed(), "later losses are borne")
+}
+
+// A data folder that fails is opened again, and what needs none goes on.
+func TestKeeperOpensAgain(t *testing.T) {
+	g := NewWithT(t)
+	k := NewKeeper(replica.Options{ID: 1, ClusterID: "c", Dir: "/dev/null/no-folder", Machine: document.New(), Logger: quiet,
+		Members: []replica.Member{{ID: 1}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- k.Run(ctx) }()
+	var closed *ClosedError
+	_, err := k.Propose(ctx, nil)
+	g.Expect(errors.As(err, &closed)).To(BeTrue())
+	g.Expect(errors.As(k.Confirm(ctx), &closed)).To(BeTrue())
+	g.Expect(k.Status().Reason).NotTo(BeEmpty())
+	w := httptest.NewRecorder()
+	k.Handler("/").ServeHTTP(w, httptest.NewRequest("POST", "/", nil))
+	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Consistently(done, "300ms").ShouldNot(Receive())
+	cancel()
+	g.Eventually(done, "2s").Should(Receive(BeNil()))
+}
