--- a/internal/consensus/seeds_test.go
+++ b/internal/consensus/seeds_test.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -270,7 +269,7 @@
 	h.run(12 * time.Second)
 	h.noTemporaryVoter(t)
 	leader := h.holder()
-	if err := h.propose(leader, fmt.Sprint("last")); err != nil {
+	if err := h.propose(leader, "last"); err != nil {
 		t.Fatalf("no command is taken after recovery: %v", err)
 	}
 	h.run(3 * time.Second)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -199,7 +200,10 @@
 // A control host that goes mute without closing anything is left in time.
 func TestMuteHostIsLeft(t *testing.T) {
 	g := NewWithT(t)
-	mute := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	mute := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body) // the end of the connection is noticed only then
+		<-r.Context().Done()
+	}))
 	t.Cleanup(func() { mute.CloseClientConnections(); mute.Close() })
 	host := newControlHost(t, "a")
 	f, c := follow(t, "e1", host, &controlHost{http: mute})
--- /dev/null
+++ b/internal/replica/confirm_test.go
@@ -0,0 +1,61 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a confirmed read", func() {
+	It("shows on every host what any host has acknowledged", func() {
+		c := newCluster(GinkgoTB(), 3, nil)
+		c.voters(3)
+		for i := range 20 {
+			c.propose(uint64(i%3+1), fmt.Sprint(i))
+			reader := uint64((i+1)%3 + 1)
+			Expect(c.hosts[reader].replica.Confirm(context.Background())).To(Succeed())
+			Expect(c.hosts[reader].machine.list()).To(HaveLen(i + 1))
+		}
+	})
+
+	It("fails on a host that has lost its quorum, the leader as well", func() {
+		c := newCluster(GinkgoTB(), 3, nil)
+		c.voters(3)
+		c.propose(1, "a")
+		leader := c.leader().id
+		for id := range c.hosts {
+			if id != leader {
+				c.kill(id)
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		Expect(c.hosts[leader].replica.Confirm(ctx)).NotTo(Succeed())
+	})
+})
+
+var _ = Describe("a host without a disk", func() {
+	It("follows, answers confirmed reads, never votes and comes back empty", func() {
+		c := newCluster(GinkgoTB(), 4, func(o *Options) {
+			if o.Open = true; o.ID == 4 {
+				o.Ephemeral, o.Dir = true, ""
+			}
+			o.Bootstrap, o.Members = o.ID < 4, o.Members[:3]
+		})
+		c.propose(1, "a")
+		for range 2 {
+			Eventually(func() error {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				return c.hosts[4].replica.Confirm(ctx)
+			}, waitLong).Should(Succeed())
+			Expect(c.hosts[4].machine.list()).To(Equal([]string{"a"}))
+			Expect(c.hosts[4].replica.Status().Voter).To(BeFalse())
+			c.kill(4)
+			c.start(4, true)
+		}
+	})
+})
