--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -19,11 +19,12 @@
 	Running, Waiting, Unread int
 	Urgent                   int // of all, those with a short gap target
 	Heat                     int // prompt tokens sent lately
+	Tokens                   int // of the prompts in flight, cached or not
 }
 
 // Add returns the sum of two shares.
 func (s Share) Add(o Share) Share {
-	return Share{Running: s.Running + o.Running, Waiting: s.Waiting + o.Waiting, Unread: s.Unread + o.Unread, Urgent: s.Urgent + o.Urgent, Heat: s.Heat + o.Heat}
+	return Share{Running: s.Running + o.Running, Waiting: s.Waiting + o.Waiting, Unread: s.Unread + o.Unread, Urgent: s.Urgent + o.Urgent, Heat: s.Heat + o.Heat, Tokens: s.Tokens + o.Tokens}
 }
 
 // Attempt is a request on its way at an endpoint.
@@ -48,6 +49,7 @@
 	e.unread += c.Unread
 	e.urgent += r.urgent()
 	// One chunk of a prompt is read within an ordinary step.
+	e.tokens += r.Prompt
 	e.heat.add(now, max(c.Unread-chunkTokens, 0))
 	e.parts.use(now, r.Parts)
 	e.ejection.sent(now)
@@ -67,6 +69,9 @@
 	e.answeredAt = now
 	t.observe(now, e, load)
 	took := now.Sub(a.sentAt)
+	if a.first > 0 && a.request.Prompt > 0 {
+		t.learnPace(now, e, took, a.first)
+	}
 	if a.first > 0 {
 		present := e.speedNow(now)
 		ratio := float64(took) / float64(max(a.first, minExpected)) * present
@@ -100,6 +105,7 @@
 	a.ended = true
 	e := a.endpoint
 	e.urgent -= a.request.urgent()
+	e.tokens -= a.request.Prompt
 	if a.began {
 		e.running--
 	} else {
@@ -145,7 +151,7 @@
 func (t *Table) Shares(now time.Time) map[string]Share {
 	shares := map[string]Share{}
 	for id, e := range t.endpoints {
-		share := Share{Running: e.running, Waiting: e.waiting, Unread: e.unread, Urgent: e.urgent, Heat: e.heat.at(now)}
+		share := Share{Running: e.running, Waiting: e.waiting, Unread: e.unread, Urgent: e.urgent, Heat: e.heat.at(now), Tokens: e.tokens}
 		if share != (Share{}) {
 			shares[id] = share
 		}
@@ -154,8 +160,9 @@
 }
 
 // Others takes what the other entries have in flight, by endpoint.
-func (t *Table) Others(shares map[string]Share) {
+func (t *Table) Others(now time.Time, shares map[string]Share) {
 	for id, e := range t.endpoints {
 		e.others = shares[id]
 	}
+	t.adjustQuiet(now)
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,7 +26,8 @@
 	Parts   []Part        // of the prompt, in order
 	Answer  int           // tokens expected
 	Bytes   int           // of the body
-	Urgency int           // 0 first
+	Urgency int           // 0 first, as the endpoints order
+	Rank    int           // of the route, 0 the most urgent
 	Target  time.Duration // for the first event or the answer
 	Gap     time.Duration // longest pause between events that is on time; 0 without events
 	Tried   []string
@@ -56,15 +57,14 @@
 	defaultSlots = 64                     // of an engine that tells none
 	plainWork    = 30 * time.Millisecond  // of a request without a prompt
 
-	speedWeight  = 0.1 // of one measurement in the speed of an endpoint
-	minSpeed     = 0.5 // times the expected duration
-	maxSpeed     = 20.0
-	maxRise      = 3.0             // of one measurement over the present speed: work is uneven
-	speedTime    = 4 * time.Second // in which two thirds of what was learned are forgotten
-	reportWeight = 1.0             // of what an endpoint reports beyond our own requests
-	reportAge    = 1500 * time.Millisecond
-	silentCost   = 500 * time.Millisecond // of one that has not reported, unless it answered lately
-	answeredAge  = 2 * time.Second
+	speedWeight = 0.1 // of one measurement in the speed of an endpoint
+	minSpeed    = 0.5 // times the expected duration
+	maxSpeed    = 20.0
+	maxRise     = 3.0             // of one measurement over the present speed: work is uneven
+	speedTime   = 4 * time.Second // in which two thirds of what was learned are forgotten
+	reportAge   = 1500 * time.Millisecond
+	silentCost  = 500 * time.Millisecond // of one that has not reported, unless it answered lately
+	answeredAge = 2 * time.Second
 )
 
 // NoEndpointError says why no endpoint is left.
@@ -75,12 +75,13 @@
 	Leaving int
 	Ejected int
 	Full    int // at their bound of requests of this entry
+	Late    int // would begin too late for the request to be worth its work
 }
 
 // Error gives the counts.
 func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d leaving, %d left out, %d full",
-		e.Service, e.Known, e.Tried, e.Leaving, e.Ejected, e.Full)
+	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d leaving, %d left out, %d full, %d too late",
+		e.Service, e.Known, e.Tried, e.Leaving, e.Ejected, e.Full, e.Late)
 }
 
 // Load is what an endpoint tells of itself with an answer.
@@ -93,6 +94,7 @@
 	ID       string
 	Address  string
 	Cross    bool          // in another failure domain
+	Home     bool          // the one that all entries of the failure domain prefer for the prompt
 	Cost     time.Duration // estimate that decided
 	First    time.Duration // expected time to the first event or the answer
 	Unread   int           // prompt tokens expected to be read there
@@ -111,6 +113,7 @@
 	waiting int // our requests before it
 	unread  int // prompt tokens of these
 	urgent  int // our requests with a short gap target
+	tokens  int // prompt tokens of our requests
 	heat    heat
 	errors  errorShare
 	others  Share
@@ -128,16 +131,21 @@
 
 // Table is what an entry knows of the endpoints.
 type Table struct {
-	config    Config
-	endpoints map[string]*endpoint
-	services  map[string][]*endpoint
-	scratch   []*endpoint
-	urgentAt  map[string]time.Time // last urgent stream of a service
+	config     Config
+	endpoints  map[string]*endpoint
+	services   map[string][]*endpoint
+	scratch    []*endpoint
+	urgentAt   map[string]time.Time // last urgent stream of a service
+	quietNeeds map[string]*quietNeed
+	paces      map[string]*pace
+	caches     map[string]int // prompt tokens that an engine of a service holds
+	lastRanks  map[string]int // least urgent rank of a service
 }
 
 // New returns an empty table.
 func New(config Config) *Table {
-	return &Table{config: config, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, urgentAt: map[string]time.Time{}}
+	return &Table{config: config, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, urgentAt: map[string]time.Time{},
+		quietNeeds: map[string]*quietNeed{}, paces: map[string]*pace{}, lastRanks: map[string]int{}, caches: map[string]int{}}
 }
 
 // Update takes a change of the directory. maxRequests bounds our requests at
@@ -167,6 +175,10 @@
 	}
 }
 
+// SetCache tells how many prompt tokens an engine of a service holds, 0 if that
+// is not known.
+func (t *Table) SetCache(service string, tokens int) { t.caches[service] = tokens }
+
 // drop forgets an endpoint.
 func (t *Table) drop(e *endpoint) {
 	if e == nil {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -346,3 +346,108 @@
 		_, _ = table.Choose(epoch, r)
 	}
 }
+
+// Pattern: overload by long prompts. While every engine would begin late, the
+// least urgent prompts are declined, more urgent ones are not, and none for its
+// own length.
+func TestOverloadDeclinesTheLeastUrgent(t *testing.T) {
+	g := NewWithT(t)
+	table := fleetOf(3)
+	declined := 0
+	for i := range uint64(400) {
+		r := digest(i, 2500)
+		r.Rank = 2
+		c, err := table.Choose(epoch, r)
+		if err != nil {
+			g.Expect(err).To(MatchError(ContainSubstring("too late")))
+			declined++
+			continue
+		}
+		table.Sent(epoch, r, c)
+	}
+	g.Expect(declined).To(BeNumerically(">", 100))
+	fast := urgent(1)
+	fast.Rank = 0
+	_, err := table.Choose(epoch, fast)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	long := digest(1000, 30000)
+	long.Rank = 2
+	_, err = fleetOf(3).Choose(epoch, long)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// Pattern: many long prompts at once. Those in flight leave room for the cached
+// parts that later ones need.
+func TestPromptsInFlightLeaveRoomForCachedParts(t *testing.T) {
+	g := NewWithT(t)
+	table := New(costs)
+	table.Update(engine("a0", "a"), 0)
+	table.SetCache("llm", 100_000)
+	sent := 0
+	for i := range uint64(30) {
+		r := digest(i, 2500)
+		c, err := table.Choose(epoch, r)
+		if err != nil {
+			g.Expect(err).To(MatchError(ContainSubstring("1 full")))
+			break
+		}
+		sent += r.Prompt
+		table.Sent(epoch, r, c)
+	}
+	g.Expect(sent).To(And(BeNumerically("<=", 80_000), BeNumerically(">", 60_000)))
+	_, err := table.Choose(epoch, urgent(1))
+	g.Expect(err).NotTo(HaveOccurred(), "urgent streams are let in")
+}
+
+// Pattern: a fleet of many entries under high load. What is not known of another
+// failure domain is taken to be as at home, so that prompts stay.
+func TestUnknownLoadElsewhereDoesNotDraw(t *testing.T) {
+	g := NewWithT(t)
+	table := fleetOf(4)
+	shares := map[string]Share{}
+	for _, id := range []string{"a0", "a1", "a2", "a3"} {
+		shares[id] = Share{Running: 20, Waiting: 4, Unread: 15000}
+	}
+	table.Others(epoch, shares)
+	cross := 0
+	for i := range uint64(60) {
+		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		c, a := send(g, table, now, digest(i, 2500))
+		if c.Cross {
+			cross++
+		}
+		table.Began(now.Add(300*time.Millisecond), a, Load{})
+		table.Ended(now.Add(600*time.Millisecond), a, Succeeded, Load{})
+	}
+	g.Expect(cross).To(BeNumerically("<=", 6))
+}
+
+// The number of quiet engines follows the urgent streams, up at once and down
+// slowly, for the homes of prompts move with it.
+func TestQuietEnginesFollowTheUrgentStreams(t *testing.T) {
+	g := NewWithT(t)
+	table := fleetOf(12)
+	quiet := func() (count int) {
+		for _, e := range table.services["llm"] {
+			if e.quiet && !e.cross {
+				count++
+			}
+		}
+		return count
+	}
+	var open []*Attempt
+	for i := range uint64(60) {
+		_, a := send(g, table, epoch, urgent(i))
+		open = append(open, a)
+	}
+	table.Others(epoch, nil)
+	g.Expect(quiet()).To(Equal(3))
+	for _, a := range open {
+		table.Ended(epoch, a, Succeeded, Load{})
+	}
+	table.Others(epoch.Add(time.Second), nil)
+	g.Expect(quiet()).To(Equal(3))
+	table.Others(epoch.Add(time.Second+quietHold), nil)
+	g.Expect(quiet()).To(Equal(2))
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -17,6 +17,7 @@
 	if r.urgent() > 0 {
 		t.urgentAt[r.Service] = now
 	}
+	t.noteRank(&r)
 	w := t.weigh(now, &r)
 	w.home = t.home(fit, &r, w.quiet)
 	var best *endpoint
@@ -35,6 +36,10 @@
 		}
 	}
 	choice.Of = len(fit)
+	if t.tooLate(&r, choice) {
+		missing.Late = len(fit)
+		return Choice{}, &missing
+	}
 	return choice, nil
 }
 
@@ -46,17 +51,23 @@
 	quiet        bool    // quiet endpoints are kept so
 	usualErrors  float64 // mean share of errors
 	usualSpeed   float64 // mean learned speed
+	pace         float64
+	usual        [2]demand // mean of the own failure domain, of other and of quiet endpoints
 	sharedTokens int
 }
 
 // weigh gathers what the estimates have in common.
 func (t *Table) weigh(now time.Time, r *Request) weighing {
-	w := weighing{now: now, request: r, quiet: t.keptQuiet(now, r.Service), sharedTokens: sharedTokens(r.Parts)}
+	w := weighing{now: now, request: r, pace: 1, quiet: t.keptQuiet(now, r.Service), sharedTokens: sharedTokens(r.Parts)}
 	all := t.services[r.Service]
+	if r.Prompt > 0 {
+		w.pace = t.paceNow(now, r.Service)
+	}
 	for _, e := range all {
 		w.usualErrors += e.errors.at(now) / float64(len(all))
 		w.usualSpeed += e.speedNow(now) / float64(len(all))
 	}
+	w.usual = usualDemand(now, all)
 	return w
 }
 
@@ -80,6 +91,8 @@
 			missing.Tried++
 		case e.maxRequests > 0 && e.running+e.waiting >= e.maxRequests:
 			missing.Full++
+		case t.crowdsOut(e, r):
+			missing.Full++
 		case !e.ejection.admits(now):
 			missing.Ejected++
 			if resort == nil || e.ejection.until.Before(resort.ejection.until) {
@@ -150,20 +163,21 @@
 // estimate is what a request would meet at an endpoint, and what that costs.
 func (t *Table) estimate(e *endpoint, w *weighing) Choice {
 	now, r := w.now, w.request
-	c := Choice{ID: e.ID, Address: e.Address, Cross: e.cross}
+	c := Choice{ID: e.ID, Address: e.Address, Cross: e.cross, Home: e == w.home}
 	if !e.loadAt.IsZero() {
 		c.Reported = now.Sub(e.loadAt)
 	}
 	held := e.parts.held(now, r.Parts)
 	c.Unread = max(r.Prompt-held, 0)
-	speed := e.speedNow(now)
-	c.First = time.Duration(float64(e.expected(now, r, c.Unread)) * speed)
-	c.Cost = timeCost(c.First, r.Target)
+	speed, d := e.speedNow(now), e.demandNow(w)
+	first := time.Duration(float64(e.expected(r, d, c.Unread)) * speed)
+	c.First = time.Duration(float64(first) * w.pace)
+	c.Cost = timeCost(first, r.Target)
 	if e != w.home {
 		// Reading the shared parts at their home is paid once, for all that follow.
 		c.Cost += time.Duration(max(w.sharedTokens-held, 0)) * t.config.ReadToken
 	}
-	c.Cost += e.crowding(now, r, c.Unread) + e.faults(w, speed)
+	c.Cost += e.crowding(now, r, d, c.Unread) + e.faults(w, speed)
 	if w.quiet && r.Prompt > 0 {
 		c.Cost += e.placeCost(r, c.Unread)
 	}
@@ -191,7 +205,7 @@
 const (
 	fullCostPart = 0.6 // of the target, from which a wait costs its whole time
 	minTimeCost  = 0.25
-	maxTimeCost  = 2.0
+	maxTimeCost  = 1.2
 )
 
 // timeCost weighs an expected wait against its target, 0 for none.
@@ -216,8 +230,8 @@
 }
 
 // expected is the time to the first event at an endpoint of ordinary speed.
-func (e *endpoint) expected(now time.Time, r *Request, unread int) time.Duration {
-	running, waiting, backlog := e.demand(now)
+func (e *endpoint) expected(r *Request, d demand, unread int) time.Duration {
+	running, waiting, backlog := d.running, d.waiting, d.backlog
 	if r.Prompt == 0 {
 		slots := max(e.Slots, 1)
 		over := max(running+waiting+1-slots, 0)
@@ -240,20 +254,3 @@
 
 // fullWait is how long one of the slots of a full engine takes to come free.
 const fullWait = 40 * time.Millisecond
-
-// demand is what runs and waits at an endpoint: our own requests, what the
-// others of the failure domain shared, or what it reported, if that is more.
-func (e *endpoint) demand(now time.Time) (running, waiting, backlog int) {
-	running = e.running + e.others.Running
-	waiting = e.waiting + e.others.Waiting
-	backlog = e.unread + e.others.Unread
-	if now.Sub(e.loadAt) < reportAge {
-		reported := e.load.Running + e.load.Waiting
-		foreign := max(reported-e.ownAtLoad, 0)
-		running = max(running, e.running+e.waiting+int(reportWeight*float64(foreign))-waiting)
-		if e.load.Waiting > waiting {
-			waiting = e.load.Waiting
-		}
-	}
-	return running, waiting, backlog
-}
--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -39,12 +39,11 @@
 }
 
 // crowding is what a request suffers and does at an endpoint beside its wait.
-func (e *endpoint) crowding(now time.Time, r *Request, unread int) time.Duration {
+func (e *endpoint) crowding(now time.Time, r *Request, d demand, unread int) time.Duration {
 	if r.Prompt == 0 || r.Gap <= 0 {
 		return 0
 	}
-	running, waiting, _ := e.demand(now)
-	cost := time.Duration(float64(running+waiting) * float64(crowdGap) / float64(r.Gap) * float64(time.Millisecond))
+	cost := time.Duration(float64(d.running+d.waiting) * float64(crowdGap) / float64(r.Gap) * float64(time.Millisecond))
 	if r.urgent() > 0 {
 		return cost + time.Duration(heatShare*float64(readTime(e.heat.at(now)+e.others.Heat)))
 	}
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -25,7 +25,7 @@
 func sharesToProto(shares map[string]balance.Share) []*pb.EndpointShare {
 	var out []*pb.EndpointShare
 	for id, s := range shares {
-		out = append(out, &pb.EndpointShare{Id: id, Running: uint32(s.Running), Waiting: uint32(s.Waiting), WaitingTokens: uint32(s.Unread), Urgent: uint32(s.Urgent), HeatTokens: uint32(s.Heat)})
+		out = append(out, &pb.EndpointShare{Id: id, Running: uint32(s.Running), Waiting: uint32(s.Waiting), WaitingTokens: uint32(s.Unread), Urgent: uint32(s.Urgent), HeatTokens: uint32(s.Heat), Tokens: uint32(s.Tokens)})
 	}
 	return out
 }
@@ -33,7 +33,7 @@
 func sharesFromProto(shares []*pb.EndpointShare) map[string]balance.Share {
 	out := map[string]balance.Share{}
 	for _, s := range shares {
-		out[s.Id] = balance.Share{Running: int(s.Running), Waiting: int(s.Waiting), Unread: int(s.WaitingTokens), Urgent: int(s.Urgent), Heat: int(s.HeatTokens)}
+		out[s.Id] = balance.Share{Running: int(s.Running), Waiting: int(s.Waiting), Unread: int(s.WaitingTokens), Urgent: int(s.Urgent), Heat: int(s.HeatTokens), Tokens: int(s.Tokens)}
 	}
 	return out
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -130,6 +130,9 @@
 		}
 		f.bounds[s.Name] = bound
 		f.table.SetMaxRequests(s.Name, bound)
+		if s.Engine != nil {
+			f.table.SetCache(s.Name, s.Engine.CacheTokens)
+		}
 	}
 }
 
@@ -144,7 +147,7 @@
 func (f *Router) Others(shares map[string]balance.Share) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.Others(shares)
+	f.table.Others(time.Now(), shares)
 }
 
 // Knows reports whether any endpoint of a service is known.
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -120,7 +120,7 @@
 // part of the target.
 func (s *serving) choose(ctx context.Context) error {
 	wanted := balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
-		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
+		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Rank: s.request.Route.Rank, Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
 	began := time.Now()
 	for {
 		now := time.Now()
@@ -313,7 +313,7 @@
 	}
 	level := slog.LevelInfo
 	s.options.Logger.Log(ctx, level, "request ended", "request", r.ID, "route", r.Route.Name, "workspace", r.Workspace,
-		"service", r.Service, "endpoint", s.choice.ID, "cross", s.choice.Cross, "expected_ms", s.choice.First.Milliseconds(),
+		"service", r.Service, "endpoint", s.choice.ID, "cross", s.choice.Cross, "home", s.choice.Home, "expected_ms", s.choice.First.Milliseconds(),
 		"unread", s.choice.Unread, "report_age_ms", s.choice.Reported.Milliseconds(), "candidates", s.choice.Of,
 		"urgency", r.Urgency, "status", s.status, "runs", s.state.Runs, "refused", s.state.Refused, "resumes", s.resumes,
 		"first_ms", first, "pause_ms", s.longest.Milliseconds(), "took_ms", now.Sub(r.Arrived).Milliseconds(), "left", ctx.Err() != nil, "error", text(err))
