Write log lines beside the work, count requests by route and outcome

Cause: a line was written where it was made; a full pipe would have held a request up. Change: lines wait in a bounded ring, what has no room is counted. Counters and first-event times by route, refusals by reason.

--- a/cmd/trefoilkeeld/main.go
+++ b/cmd/trefoilkeeld/main.go
@@ -76,9 +76,17 @@
 	return 0
 }
 
+// logLines is how many lines may wait for standard output.
+const logLines = 2000
+
 // runPlatform runs a role on the platform until ctx ends.
 func runPlatform(ctx context.Context, role string) int {
-	logger := logging.New(os.Stdout, slog.LevelInfo)
+	lines := logging.NewAsync(os.Stdout, logLines)
+	linesCtx, stopLines := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() { defer close(written); lines.Run(linesCtx) }()
+	defer func() { stopLines(); <-written }()
+	logger := logging.New(lines, slog.LevelInfo)
 	log.SetFlags(0)
 	log.SetOutput(daemon.ShortWriter{Logger: logger})
 	if err := platform.Run(ctx, role, logger); err != nil {
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -13,6 +13,7 @@
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
 	"github.com/trefoilkeel/trefoilkeel/internal/upstream"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
@@ -304,6 +305,40 @@
 // Error gives the cause.
 func (e *BrokenError) Error() string { return "answer broken off: " + text(e.Cause) }
 
+// count adds the end of a request to the metrics.
+func (s *serving) count(err error) {
+	m, name := s.options.Metrics, s.request.Route.Name
+	if s.state.Runs+s.state.Refused > 1 {
+		m.Add(metrics.Retries, int64(s.state.Runs+s.state.Refused-1))
+	}
+	if s.resumes > 0 {
+		m.Add(metrics.StreamsResumed, 1)
+	}
+	if !s.firstAt.IsZero() {
+		m.Time(metrics.ClassFirstToken+name, s.firstAt.Sub(s.request.Arrived))
+	}
+	var refused *Refusal
+	var broken *BrokenError
+	switch {
+	case err == nil:
+		m.Add(metrics.ClassFinished+name, 1)
+		if s.inTarget() {
+			m.Add(metrics.ClassAttained+name, 1)
+		}
+	case errors.As(err, &broken):
+		m.Add(metrics.StreamsBroken, 1)
+	case errors.As(err, &refused):
+		m.Add(metrics.Refused+string(refused.Reason), 1)
+	}
+}
+
+// inTarget reports whether a whole answer began in time and did not pause.
+func (s *serving) inTarget() bool {
+	route := s.request.Route
+	inTime := s.firstAt.Sub(s.request.Arrived) <= route.Target
+	return isSuccess(s.status) && inTime && (route.GapTarget <= 0 || s.longest <= route.GapTarget)
+}
+
 // log writes the line of a request that has ended.
 func (s *serving) log(ctx context.Context, err error) {
 	r, now := s.request, time.Now()
