--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -74,14 +74,15 @@
 	Tried   int
 	Leaving int
 	Ejected int
-	Full    int // at their bound of requests of this entry
-	Late    int // would begin too late for the request to be worth its work
+	Full    int           // at their bound of requests of this entry
+	Late    int           // would begin too late for the request to be worth its work
+	Soonest time.Duration // in which the first of the late ones would begin
 }
 
 // Error gives the counts.
 func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d leaving, %d left out, %d full, %d too late",
-		e.Service, e.Known, e.Tried, e.Leaving, e.Ejected, e.Full, e.Late)
+	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d leaving, %d left out, %d full, %d too late (soonest in %d ms)",
+		e.Service, e.Known, e.Tried, e.Leaving, e.Ejected, e.Full, e.Late, e.Soonest.Milliseconds())
 }
 
 // Load is what an endpoint tells of itself with an answer.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -37,7 +37,7 @@
 	}
 	choice.Of = len(fit)
 	if t.tooLate(&r, choice) {
-		missing.Late = len(fit)
+		missing.Late, missing.Soonest = len(fit), choice.First
 		return Choice{}, &missing
 	}
 	return choice, nil
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -330,3 +330,13 @@
 	DropPerConnection(h)
 	g.Expect(h).To(Equal(http.Header{"X-Kept": {"1"}}))
 }
+
+// Pattern: callers that are declined together and repeat. They are told to come
+// back at different times, later the longer the wait is.
+func TestRetryAfterSpreadsTheReturn(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(retryIn(0, 0)).To(Equal(retryAfter))
+	g.Expect(retryIn(0, 0.999)).To(BeNumerically("~", 2*retryAfter, 5*time.Millisecond))
+	g.Expect(retryIn(1200*time.Millisecond, 0)).To(Equal(600 * time.Millisecond))
+	g.Expect(retryIn(time.Minute, 0)).To(Equal(maxRetryAfter))
+}
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"time"
@@ -30,7 +31,8 @@
 	learnWait = time.Second
 	learnPart = 3
 	// retryAfter is when a place is expected, if nothing better is known.
-	retryAfter = 400 * time.Millisecond
+	retryAfter    = 300 * time.Millisecond
+	maxRetryAfter = time.Second
 	// firstPatience is how many targets a repeatable request waits for an
 	// endpoint to begin, at least minPatience.
 	firstPatience = 2
@@ -291,11 +293,18 @@
 	case s.state.Runs > 0:
 		return &Refusal{Reason: Uncertain, Detail: detail}
 	case errors.As(cause, &none):
-		return &Refusal{Reason: NoEndpoint, Detail: detail, RetryAfter: retryAfter}
+		return &Refusal{Reason: NoEndpoint, Detail: detail, RetryAfter: retryIn(none.Soonest, rand.Float64())}
 	}
 	return &Refusal{Reason: NoEndpoint, Detail: detail, RetryAfter: retryAfter}
 }
 
+// retryIn is when to come back: when about half of the wait at the endpoints is
+// worked off. The callers that are declined together come back one by one.
+func retryIn(soonest time.Duration, spread float64) time.Duration {
+	base := min(max(soonest/2, retryAfter), maxRetryAfter)
+	return base + time.Duration(spread*float64(base))
+}
+
 // BrokenError says that an answer ended after it had begun: the caller must not
 // take what it has for the whole. It hides what else its cause may be.
 type BrokenError struct {
