--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -7,8 +7,8 @@
 	// lastAdmit is the part of its target that a request of the least urgent rank
 	// may wait for its prompt to be begun; each rank above it may wait
 	// rankAdmit times as long.
-	lastAdmit = 0.8
-	rankAdmit = 3.0
+	lastAdmit = 0.6
+	rankAdmit = 5.0
 )
 
 // noteRank keeps the least urgent rank of a service.
