Keep no promise to a leader lease where nobody relies on one

Cause: after a loss of power at all hosts, half of the time to the first answer was the promise of restarted voters to a leader that might hold a lease; on the platform reads are confirmed by a quorum and no lease is asked for. Change: leaseless mode, in which no lease is told and a restarted voter may vote at once; votes stay durable.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -31,6 +31,9 @@
 	Heartbeat       time.Duration
 	ElectionTimeout time.Duration // shortest; the longest is twice that
 	Seed            uint64        // of the jitter of elections
+	// Leaseless says that nobody relies on the leader lease: none is told, and a
+	// host that has restarted need not keep the promise of its life before.
+	Leaseless bool
 	// Ephemeral says that the data folder ends with the process.
 	Ephemeral bool
 	// Open admits every host that asks to join, not only known ones.
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -14,7 +14,7 @@
 // notes the newest answer: a membership change may bring an earlier one, but
 // the callers go by what they were told.
 func (n *Node) leaseEnd() (time.Duration, bool) {
-	if n.role != Leader || n.commit < n.termStart {
+	if n.cfg.Leaseless || n.role != Leader || n.commit < n.termStart {
 		return 0, false
 	}
 	end := n.quorumAcked() + n.cfg.lease()
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -51,6 +51,10 @@
 	n.promiseUntil = now + n.cfg.ElectionTimeout
 	n.leaseTold = never
 	n.resetElection()
+	if cfg.Leaseless {
+		n.promiseUntil = now
+		n.electionAt -= n.cfg.ElectionTimeout
+	}
 	if m, _ := n.log.membership(); m.voters() == 1 && m.isVoter(cfg.ID, cfg.Disk) {
 		n.promiseUntil, n.electionAt = now, now
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -53,6 +53,9 @@
 	Bootstrap bool
 	// Ephemeral says that the host has no disk: it follows and does not vote.
 	Ephemeral bool
+	// Leaseless says that reads are confirmed and Leading is not asked: see
+	// consensus.Config.
+	Leaseless bool
 	// Open admits every host that asks to join.
 	Open bool
 	// MinVoters is how many voters there are meant to be at least; see
@@ -202,7 +205,7 @@
 	}
 	identity := j.Identity()
 	config := consensus.Config{ID: o.ID, Disk: identity.Disk, Run: identity.Run, URL: o.SelfURL,
-		Bootstrap: o.Bootstrap, Ephemeral: o.Ephemeral, Open: o.Open, MinVoters: o.MinVoters, Heartbeat: o.Heartbeat, ElectionTimeout: o.ElectionTimeout,
+		Bootstrap: o.Bootstrap, Ephemeral: o.Ephemeral, Leaseless: o.Leaseless, Open: o.Open, MinVoters: o.MinVoters, Heartbeat: o.Heartbeat, ElectionTimeout: o.ElectionTimeout,
 		Seed: identity.Disk ^ identity.Run}
 	for _, m := range o.Members {
 		config.Peers = append(config.Peers, consensus.Member{ID: m.ID, URL: m.URL})
