Take the home of a session to hold what other entries sent there

Change: the home is taken to hold 0.7 of the shared tokens unless its incarnation is younger than 6 s.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -274,13 +274,15 @@
 func TestNewIncarnationBeginsAnew(t *testing.T) {
 	g := NewWithT(t)
 	table := New(costs)
-	table.Update(engine("a0", "a"), 0)
+	first := engine("a0", "a")
+	first.Born = epoch.UnixMilli() - 1
+	table.Update(first, 0)
 	c, a := send(g, table, epoch, digest(1, 100))
 	g.Expect(c.Unread).To(Equal(6400))
 	c, _ = send(g, table, epoch, digest(1, 100))
 	g.Expect(c.Unread).To(BeNumerically("<=", 100))
 	again := engine("a0", "a")
-	again.Born = 2
+	again.Born = epoch.UnixMilli()
 	table.Update(again, 0)
 	table.Ended(epoch, a, Succeeded, Load{}) // of the life before
 	c, _ = send(g, table, epoch, digest(1, 100))
@@ -451,3 +453,13 @@
 	table.Others(epoch.Add(time.Second+quietHold), nil)
 	g.Expect(quiet()).To(Equal(2))
 }
+
+// Pattern: an entry that has just started, or one of many. The home of a session
+// holds what the other entries sent there, so that its wait isn't overrated.
+func TestHomeHoldsWhatOthersSent(t *testing.T) {
+	g := NewWithT(t)
+	c, err := fleetOf(4).Choose(epoch, digest(1, 2000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Home).To(BeTrue())
+	g.Expect(c.Unread).To(BeNumerically("<", 4000))
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -168,6 +168,9 @@
 		c.Reported = now.Sub(e.loadAt)
 	}
 	held := e.parts.held(now, r.Parts)
+	if e == w.home && e.age(now) > freshFor {
+		held = max(held, int(homeHolds*float64(w.sharedTokens)))
+	}
 	c.Unread = max(r.Prompt-held, 0)
 	speed, d := e.speedNow(now), e.demandNow(w)
 	first := time.Duration(float64(e.expected(r, d, c.Unread)) * speed)
@@ -217,6 +220,17 @@
 	return time.Duration(min(max(weight, minTimeCost), maxTimeCost) * float64(first))
 }
 
+// homeHolds is the part of the shared tokens that a home is taken to hold where
+// this entry sent none there: the other entries did.
+const homeHolds = 0.7
+
+// freshFor is how long a new incarnation is taken to hold nothing; clocks of hosts
+// may differ by a part of that.
+const freshFor = 6 * time.Second
+
+// age is how long ago the incarnation began, as it said.
+func (e *endpoint) age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(e.Born)) }
+
 // answerBytes is about what a token of an answer takes in a stream.
 const answerBytes = 12
 
