Move costs and times of the platform's path into the modules that decide by them

Cause: platform/ held weights of choices and times of elections. They are now defaults of balance and fleet; values unchanged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -33,7 +34,8 @@
 	Tried   []string
 }
 
-// Config describes the entry and what its choices cost.
+// Config describes the entry and what its choices cost. The zero value of a
+// cost takes its default.
 type Config struct {
 	// Domain is the entry's own failure domain.
 	Domain string
@@ -47,6 +49,21 @@
 	ReadToken time.Duration
 }
 
+// Defaults of Config; docs/decisions/061 and 063 give the figures behind them.
+const (
+	defaultCrossByte = 7500 * time.Nanosecond
+	defaultCrossTrip = 8 * time.Millisecond
+	defaultReadToken = 600 * time.Microsecond
+)
+
+// withDefaults fills in the costs that are not set.
+func (c Config) withDefaults() Config {
+	c.CrossByte = cmp.Or(c.CrossByte, defaultCrossByte)
+	c.CrossTrip = cmp.Or(c.CrossTrip, defaultCrossTrip)
+	c.ReadToken = cmp.Or(c.ReadToken, defaultReadToken)
+	return c
+}
+
 // Constants of the estimates. Speeds are first guesses, corrected by what each
 // endpoint shows.
 const (
@@ -145,7 +162,7 @@
 
 // New returns an empty table.
 func New(config Config) *Table {
-	return &Table{config: config, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, urgentAt: map[string]time.Time{},
+	return &Table{config: config.withDefaults(), endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, urgentAt: map[string]time.Time{},
 		quietNeeds: map[string]*quietNeed{}, paces: map[string]*pace{}, lastRanks: map[string]int{}, caches: map[string]int{}}
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -108,7 +108,7 @@
 	return t.scratch, missing
 }
 
-// homeSeed is fixed so that all entries agree on the home of a prompt.
+// Multiplier and shift of mix, the same on all entries.
 const (
 	homeMultiplier = 0x9E3779B97F4A7C15
 	homeShift      = 32
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -17,6 +17,17 @@
 	maxReopen   = time.Second
 )
 
+// Times of the log.
+const (
+	// electionTimeout is how long a leader may be silent: several times the
+	// slowest sync of a slow disk, and short beside the callers' deadlines.
+	electionTimeout = 320 * time.Millisecond
+	heartbeat       = 100 * time.Millisecond
+	// deliverTimeout is after how long a silent connection to another host is
+	// given up.
+	deliverTimeout = 800 * time.Millisecond
+)
+
 // Keeper keeps a replica open: one whose disk failed is opened again, while the
 // process goes on with what needs no disk. It is a Log.
 type Keeper struct {
@@ -33,8 +44,12 @@
 	handler http.Handler
 }
 
-// NewKeeper returns a keeper of a replica with the options.
+// NewKeeper returns a keeper of a replica with the options. Hosts join through
+// the members of the options, which need not list them; reads are confirmed, so
+// that no leader lease is kept.
 func NewKeeper(o replica.Options) *Keeper {
+	o.Open, o.Leaseless = true, true
+	o.Heartbeat, o.ElectionTimeout, o.StepTimeout = heartbeat, electionTimeout, deliverTimeout
 	k := &Keeper{options: o, logger: o.Logger}
 	k.members.Store(&o.Members)
 	return k
