--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -56,8 +55,6 @@
 	choice    balance.Choice
 	attempt   *balance.Attempt
 	load      balance.Load
-	last      retry.Outcome
-	lastError error
 	status    int    // written to the caller, 0 if none was
 	lastEvent string // id of the last event written, or that the caller has
 	resumes   int
@@ -82,7 +79,6 @@
 			return s.finish(err)
 		}
 		outcome, err := s.try(ctx)
-		s.last, s.lastError = outcome, err
 		if outcome == retry.Answered {
 			return nil
 		}
@@ -123,7 +119,8 @@
 // part of the target.
 func (s *serving) choose(ctx context.Context) error {
 	wanted := balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
-		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Rank: s.request.Route.Rank, Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
+		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Rank: s.request.Route.Rank,
+		Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
 	began := time.Now()
 	for {
 		now := time.Now()
@@ -355,8 +352,7 @@
 	if !s.firstAt.IsZero() {
 		first = s.firstAt.Sub(r.Arrived).Milliseconds()
 	}
-	level := slog.LevelInfo
-	s.options.Logger.Log(ctx, level, "request ended", "request", r.ID, "route", r.Route.Name, "workspace", r.Workspace,
+	s.options.Logger.Info("request ended", "request", r.ID, "route", r.Route.Name, "workspace", r.Workspace,
 		"service", r.Service, "endpoint", s.choice.ID, "cross", s.choice.Cross, "home", s.choice.Home, "expected_ms", s.choice.First.Milliseconds(),
 		"unread", s.choice.Unread, "report_age_ms", s.choice.Reported.Milliseconds(), "candidates", s.choice.Of,
 		"urgency", r.Urgency, "status", s.status, "runs", s.state.Runs, "refused", s.state.Refused, "resumes", s.resumes,
