Make room for control hosts that replace others

Cause: read through as a newcomer: an entry follows nine control hosts at most and kept those that were gone for good; the log kept members with a disk for ever, as learners. After nine replacements an entry would have followed dead hosts only. Change: a host that is long not heard and no longer named is left; a member that doesn't vote is forgotten after 60 silent election timeouts and may join again, with its disk; a silent voter asks as well. Tests failed before: the follower's with 8 dead hosts, the log's by a host that returns after it was forgotten.

--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -114,6 +114,9 @@
 // never is a time before any other.
 const never = time.Duration(-1 << 62)
 
+// forever is longer than any time.
+const forever = time.Duration(1 << 62)
+
 // kthLargest returns the k-th largest value, counted from 1.
 func kthLargest[T ~int64 | ~uint64](values []T, k int) T {
 	slices.Sort(values)
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -88,8 +88,12 @@
 const absentTimeouts = 3
 
 // forgetTimeouts is after how many election timeouts of silence an ephemeral
-// member is forgotten; most of them come back with another folder.
-const forgetTimeouts = 10
+// member is forgotten; most of them come back with another folder. forgetLasting
+// is that of a member with a lasting folder.
+const (
+	forgetTimeouts = 10
+	forgetLasting  = 60
+)
 
 // handOverTemporary ends the vote of ephemeral members once enough lasting
 // folders vote. A leader among them hands over first.
@@ -127,7 +131,7 @@
 			member.Voter = false
 			_, _, err := n.proposeMembership(m.with(member))
 			return err == nil
-		case !member.Voter && member.Ephemeral && silence > forgetTimeouts*n.cfg.ElectionTimeout:
+		case !member.Voter && silence > n.forgetAfter(member):
 			next := m.without(member.ID)
 			// It may only have been cut off: its folder may join again.
 			next.Retired = slices.Clone(m.Retired)
@@ -138,6 +142,18 @@
 	return false
 }
 
+// forgetAfter is how long a member that doesn't vote may be silent. One with a
+// lasting folder is forgotten only where it may join again.
+func (n *Node) forgetAfter(member Member) time.Duration {
+	switch {
+	case member.Ephemeral:
+		return forgetTimeouts * n.cfg.ElectionTimeout
+	case n.cfg.Open:
+		return forgetLasting * n.cfg.ElectionTimeout
+	}
+	return forever
+}
+
 // silence is how long the leader has not heard a member.
 func (n *Node) silence(member Member) time.Duration {
 	p := n.progress[member.ID]
@@ -161,7 +177,7 @@
 	m, _ := n.log.membership()
 	silent := n.now - n.promiseUntil
 	registered := n.hard.Formation != 0 && m.isRegistered(n.cfg.ID, n.cfg.Disk)
-	if registered && (n.role == Leader || n.isVoter() || silent < absentTimeouts*n.cfg.ElectionTimeout) {
+	if registered && (n.role == Leader || silent < absentTimeouts*n.cfg.ElectionTimeout) {
 		return
 	}
 	if n.founder() && len(n.missingPeers()) == 0 {
--- a/internal/consensus/seeds_test.go
+++ b/internal/consensus/seeds_test.go
@@ -118,6 +118,20 @@
 		Expect(w.hosts[5].applied).To(Equal(w.holder().applied))
 	})
 
+	ginkgo.It("forget a host that is gone for good, and take it back with its disk", func() {
+		ephemeral := map[uint64]bool{2: true, 6: true}
+		w := openSystem(ginkgo.GinkgoT(), evenRates(seedHosts), ephemeral)
+		w.run(8 * time.Second)
+		gone := w.hosts[0]
+		w.crash(gone)
+		w.run((forgetLasting + 10) * DefaultElectionTimeout)
+		Expect(w.holder().node.View().Membership.Members).To(HaveLen(seedHosts - 1))
+		w.start(gone)
+		w.run(10 * time.Second)
+		Expect(voters(w.holder())).To(Equal([]uint64{1, 3, 4, 5}))
+		Expect(gone.applied).To(Equal(w.holder().applied))
+	})
+
 	ginkgo.It("never found a second cluster with an emptied disk", func() {
 		w := openSystem(ginkgo.GinkgoT(), evenRates(seedHosts), map[uint64]bool{2: true, 4: true, 6: true})
 		w.run(8 * time.Second)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -26,7 +26,7 @@
 type soloLog struct {
 	*replica.Solo
 	cut     atomic.Bool
-	members []replica.Member
+	members atomic.Pointer[[]replica.Member]
 }
 
 func (l *soloLog) Confirm(context.Context) error {
@@ -36,7 +36,7 @@
 	return nil
 }
 
-func (l *soloLog) Status() replica.Status { return replica.Status{Members: l.members} }
+func (l *soloLog) Status() replica.Status { return replica.Status{Members: *l.members.Load()} }
 
 // controlHost is a control host of a test.
 type controlHost struct {
@@ -48,7 +48,8 @@
 // newControlHost starts one in a failure domain.
 func newControlHost(t *testing.T, domain string) *controlHost {
 	machine := document.New()
-	log := &soloLog{Solo: replica.NewSolo(machine), members: []replica.Member{{ID: 1, Voter: true}}}
+	log := &soloLog{Solo: replica.NewSolo(machine)}
+	log.members.Store(&[]replica.Member{{ID: 1, Voter: true}})
 	h := &controlHost{log: log, Server: NewServer(ServerOptions{Log: log, Machine: machine, Domain: domain, MinVoters: 1, Logger: quiet})}
 	path, handler := h.Handler()
 	mux := http.NewServeMux()
@@ -236,9 +237,9 @@
 	host.minVoters = 3
 	var forming *FormingError
 	g.Expect(errors.As(host.Put(context.Background(), 1, []byte("one")), &forming)).To(BeTrue())
-	host.log.members = []replica.Member{{Voter: true}, {Voter: true}, {Voter: true}}
+	host.log.members.Store(&[]replica.Member{{Voter: true}, {Voter: true}, {Voter: true}})
 	g.Expect(host.Put(context.Background(), 1, []byte("one"))).To(Succeed())
-	host.log.members = host.log.members[:1]
+	host.log.members.Store(&[]replica.Member{{Voter: true}})
 	g.Expect(host.Put(context.Background(), 2, []byte("two"))).To(Succeed(), "later losses are borne")
 }
 
@@ -262,3 +263,24 @@
 	cancel()
 	g.Eventually(done, "2s").Should(Receive(BeNil()))
 }
+
+// Hosts that were replaced make room: an entry that has followed many dead ones
+// follows those that are named now.
+func TestReplacedHostsMakeRoom(t *testing.T) {
+	g := NewWithT(t)
+	host, next := newControlHost(t, "a"), newControlHost(t, "a")
+	var dead []*controlHost
+	for range MaxControlHosts - 1 {
+		server := httptest.NewServer(http.NotFoundHandler())
+		server.Close()
+		dead = append(dead, &controlHost{http: server})
+	}
+	f, c := follow(t, "e1", append(dead, host)...)
+	g.Eventually(func() int { return f.Status().Live }, "3s").Should(Equal(1))
+	time.Sleep(forgetHost + time.Second)
+	host.log.members.Store(&[]replica.Member{{URL: host.http.URL}, {URL: next.http.URL}})
+	host.CheckIn(endpoint("x", 1, directory.Ready))
+	g.Eventually(func() Status { return f.Status() }, "3s").Should(And(HaveField("Live", 2), HaveField("Hosts", 2)))
+	next.CheckIn(endpoint("y", 1, directory.Ready))
+	g.Eventually(c.state("y"), "3s").Should(Equal(directory.Ready))
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 const (
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
+	// forgetHost is how long a host is looked for that no other one names: longer
+	// than a restart or the forming of the control hosts takes.
+	forgetHost = 6 * time.Second
 	// MaxControlHosts bounds the control hosts that an entry follows.
 	MaxControlHosts = 9
 )
@@ -50,7 +54,9 @@
 	options FollowerOptions
 
 	mu        sync.Mutex
-	seeds     []string
+	seeds     []string         // of the settings
+	newSeeds  bool             // they have changed
+	named     []string         // by the control hosts
 	hosts     map[string]*host // by base URL
 	dir       *directory.Directory
 	revision  uint64
@@ -67,6 +73,7 @@
 	version uint64 // newest document there, confirmed
 	domain  string
 	entries int
+	since   time.Time // of the present state
 	cancel  context.CancelFunc
 }
 
@@ -78,7 +85,7 @@
 // SetSeeds replaces the hosts to begin with.
 func (f *Follower) SetSeeds(seeds []string) {
 	f.mu.Lock()
-	f.seeds = seeds
+	f.seeds, f.newSeeds = seeds, true
 	f.mu.Unlock()
 	f.poke()
 }
@@ -103,9 +110,13 @@
 		case <-f.wake:
 		}
 		f.mu.Lock()
-		seeds := f.seeds
+		f.forget(time.Now())
+		urls := f.named
+		if f.newSeeds || !f.anyLive() {
+			urls, f.newSeeds = slices.Concat(f.named, f.seeds), false
+		}
 		f.mu.Unlock()
-		f.begin(ctx, group, seeds)
+		f.begin(ctx, group, urls)
 	}
 }
 
@@ -118,7 +129,7 @@
 			continue
 		}
 		hostCtx, cancel := context.WithCancel(ctx)
-		h := &host{cancel: cancel}
+		h := &host{cancel: cancel, since: time.Now()}
 		f.hosts[url] = h
 		group.Go(func() error { f.follow(hostCtx, url, h); return nil })
 	}
@@ -178,7 +189,9 @@
 func (f *Follower) setLive(url string, h *host, live bool, err error) {
 	f.mu.Lock()
 	changed := h.live != live
-	h.live = live
+	if changed {
+		h.live, h.since = live, time.Now()
+	}
 	f.mu.Unlock()
 	if !changed {
 		return
@@ -215,11 +228,32 @@
 		f.countEntries()
 	}
 	if len(event.ControlUrls) > 0 {
-		f.seeds = append([]string(nil), event.ControlUrls...)
+		f.named = append([]string(nil), event.ControlUrls...)
 		f.poke()
 	}
 }
 
+// anyLive reports whether any host is heard.
+func (f *Follower) anyLive() bool {
+	for _, h := range f.hosts {
+		if h.live {
+			return true
+		}
+	}
+	return false
+}
+
+// forget stops following hosts that are long not heard and that no control host
+// names any more: else hosts that were replaced would take the places of new ones.
+func (f *Follower) forget(now time.Time) {
+	for url, h := range f.hosts {
+		if !h.live && now.Sub(h.since) > forgetHost && !slices.Contains(f.named, url) {
+			h.cancel()
+			delete(f.hosts, url)
+		}
+	}
+}
+
 // countEntries takes the largest number of entries that any host sees.
 func (f *Follower) countEntries() {
 	most := 1
