--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -102,16 +102,23 @@
 	flusher := http.NewResponseController(s.writer)
 	events := bufio.NewReaderSize(x, eventBytes)
 	var event []byte
+	midLine := false // the buffer ended within a line
 	for {
 		line, err := events.ReadSlice('\n')
 		event = append(event, line...)
+		if len(event) > maxEventBytes {
+			err = &upstream.ProtocolError{Reason: "an event is too long"}
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			midLine = true
 			continue
 		}
 		if err != nil {
 			return s.streamEnded(ctx, err, len(event) > 0, x)
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		blank := !midLine && len(bytes.TrimRight(line, "\r\n")) == 0
+		midLine = false
+		if !blank {
 			continue
 		}
 		if err := s.event(x, event, flusher); err != nil {
@@ -123,8 +130,12 @@
 	}
 }
 
-// eventBytes is the buffer of a stream; a longer event is put together.
-const eventBytes = 2 << 10
+// eventBytes is the buffer of a stream; a longer event is put together, up to
+// maxEventBytes.
+const (
+	eventBytes    = 2 << 10
+	maxEventBytes = 1 << 20
+)
 
 // event sends one whole event to the caller, unless the caller has it.
 func (s *serving) event(x *upstream.Exchange, event []byte, flusher *http.ResponseController) error {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -187,6 +187,11 @@
 func (f *Router) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errTimedOut)
 	defer cancel()
+	// A caller that takes nothing doesn't hold its request past its time. Writers
+	// without deadlines, as in tests, have nothing to set.
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(r.Deadline.Add(writeGrace))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	f.budgetRequest(r.Arrived, r.Service)
 	f.options.Metrics.Add(metrics.ClassOffered+r.Route.Name, 1)
 	s := &serving{Router: f, request: r, writer: w, state: retry.Attempts{
@@ -197,5 +202,8 @@
 	return err
 }
 
+// writeGrace is how long past its time the last bytes of an answer may take.
+const writeGrace = time.Second
+
 // errTimedOut is the cause of a context whose request is out of time.
 var errTimedOut = &Refusal{Reason: TimedOut, Detail: "the request's time is over"}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -340,3 +340,43 @@
 	g.Expect(retryIn(1200*time.Millisecond, 0)).To(Equal(600 * time.Millisecond))
 	g.Expect(retryIn(time.Minute, 0)).To(Equal(maxRetryAfter))
 }
+
+// Events longer than the buffer, with lines that end right behind it, are passed
+// on as they are; one without an end breaks the stream.
+func TestLongEvents(t *testing.T) {
+	g := NewWithT(t)
+	var all strings.Builder
+	for i := 1; i <= 40; i++ {
+		fmt.Fprintf(&all, "id: %d\ndata: %s\ndata: more\n\n", i, strings.Repeat("x", eventBytes-24+i))
+	}
+	f, w := newFleet(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, all.String()) }), httptest.NewRecorder()
+	g.Expect(f.Serve(context.Background(), w, request(catalog.Stream, false))).To(Succeed())
+	g.Expect(w.Body.String()).To(Equal(all.String()))
+
+	f, w = newFleet(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: "+strings.Repeat("x", 2*maxEventBytes))
+	}), httptest.NewRecorder()
+	var broken *BrokenError
+	g.Expect(errors.As(f.Serve(context.Background(), w, request(catalog.Stream, false)), &broken)).To(BeTrue())
+	g.Expect(w.Body.String()).To(Equal("id: 1\ndata: x\n\n"))
+}
+
+// flushes notes what was written when.
+type flushes struct {
+	*httptest.ResponseRecorder
+	sizes []int
+}
+
+func (f *flushes) Flush() { f.sizes = append(f.sizes, f.Body.Len()) }
+
+// Each event is flushed by itself, whole: a line that ends right behind the
+// buffer doesn't end its event.
+func TestEventsAreFlushedWhole(t *testing.T) {
+	g := NewWithT(t)
+	for length := eventBytes - 40; length < eventBytes+8; length++ {
+		event := "id: 1\ndata: " + strings.Repeat("x", length) + "\ndata: more\n\n"
+		f, w := newFleet(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, event) }), &flushes{ResponseRecorder: httptest.NewRecorder()}
+		g.Expect(f.Serve(context.Background(), w, request(catalog.Stream, false))).To(Succeed())
+		g.Expect(w.sizes).To(Equal([]int{len(event)}), "length %d", length)
+	}
+}
