--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -69,6 +69,7 @@
 
 // host is one control host that is followed.
 type host struct {
+	url     string
 	live    bool   // heard within silenceAfter
 	version uint64 // newest document there, confirmed
 	domain  string
@@ -129,7 +130,7 @@
 			continue
 		}
 		hostCtx, cancel := context.WithCancel(ctx)
-		h := &host{cancel: cancel, since: time.Now()}
+		h := &host{url: url, cancel: cancel, since: time.Now()}
 		f.hosts[url] = h
 		group.Go(func() error { f.follow(hostCtx, url, h); return nil })
 	}
@@ -141,7 +142,7 @@
 	pause := firstRetry
 	for ctx.Err() == nil {
 		heard, err := f.watch(ctx, client, h)
-		f.setLive(url, h, false, err)
+		f.setLive(h, false, err)
 		if heard {
 			pause = firstRetry
 		}
@@ -166,7 +167,7 @@
 	for stream.Receive() {
 		silence.Reset(silenceAfter)
 		if !heard {
-			f.setLive("", h, true, nil)
+			f.setLive(h, true, nil)
 			heard = true
 		}
 		f.take(h, stream.Msg())
@@ -186,7 +187,7 @@
 func (e *SilentError) Error() string { return "the control host was silent for " + e.After.String() }
 
 // setLive notes whether a host is heard, and logs the change.
-func (f *Follower) setLive(url string, h *host, live bool, err error) {
+func (f *Follower) setLive(h *host, live bool, err error) {
 	f.mu.Lock()
 	changed := h.live != live
 	if changed {
@@ -197,10 +198,10 @@
 		return
 	}
 	if live {
-		f.options.Logger.Info("control host regained", "entry", f.options.Entry)
+		f.options.Logger.Info("control host regained", "url", h.url)
 		return
 	}
-	f.options.Logger.Warn("control host lost", "url", url, "error", err)
+	f.options.Logger.Warn("control host lost", "url", h.url, "error", err)
 }
 
 // take merges an event.
