Say once what stood twice in the platform's path

A client of a control host was built for each fetch and ten times a second for the exchange of load; now one a host. Runs were counted down to be counted up again for answers that break off. The time that a further attempt needs was bounded by a part of the target that could never decide; that bound, the field behind it and a setting that nobody read are gone. Behaviour is unchanged, tests keep their assertions.

--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -48,8 +48,8 @@
 	e.waiting++
 	e.unread += c.Unread
 	e.urgent += r.urgent()
-	// One chunk of a prompt is read within an ordinary step.
 	e.tokens += r.Prompt
+	// One chunk of a prompt is read within an ordinary step.
 	e.heat.add(now, max(c.Unread-chunkTokens, 0))
 	e.parts.use(now, r.Parts)
 	e.ejection.sent(now)
@@ -68,16 +68,21 @@
 	e.unread -= a.unread
 	e.answeredAt = now
 	t.observe(now, e, load)
-	took := now.Sub(a.sentAt)
-	if a.first > 0 && a.request.Prompt > 0 {
-		t.learnPace(now, e, took, a.first)
-	}
 	if a.first > 0 {
-		present := e.speedNow(now)
-		ratio := float64(took) / float64(max(a.first, minExpected)) * present
-		ratio = max(min(ratio, present*maxRise, maxSpeed), minSpeed)
-		e.speed, e.speedAt = present+speedWeight*(ratio-present), now
+		t.learn(now, a, now.Sub(a.sentAt))
+	}
+}
+
+// learn takes the time that an attempt took to begin against its estimate.
+func (t *Table) learn(now time.Time, a *Attempt, took time.Duration) {
+	e := a.endpoint
+	if a.request.Prompt > 0 {
+		t.learnPace(now, e, took, a.first)
 	}
+	present := e.speedNow(now)
+	ratio := float64(took) / float64(max(a.first, minExpected)) * present
+	ratio = max(min(ratio, present*maxRise, maxSpeed), minSpeed)
+	e.speed, e.speedAt = present+speedWeight*(ratio-present), now
 }
 
 // speedNow is the learned speed, which fades while nothing is sent there.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/forward"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // Intervals of an entry's duties.
@@ -168,26 +169,13 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.becomeReady(ctx) })
 	group.Go(func() error {
-		return every(ctx, tidyInterval, func() { e.router.Tidy(time.Now()); e.gauges() })
+		wait.Every(ctx, tidyInterval, func() { e.router.Tidy(time.Now()); e.gauges() })
+		return nil
 	})
-	group.Go(func() error { return every(ctx, shareInterval, func() { e.share(ctx) }) })
+	group.Go(func() error { wait.Every(ctx, shareInterval, func() { e.share(ctx) }); return nil })
 	return group.Wait()
 }
 
-// every calls at an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, call func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			call()
-		}
-	}
-}
-
 // becomeReady waits for a confirmed configuration and for the endpoints.
 func (e *Entry) becomeReady(ctx context.Context) error {
 	ticker := time.NewTicker(readyPoll)
--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
-	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
@@ -31,56 +30,53 @@
 		}
 		began := time.Now()
 		for ctx.Err() == nil {
-			url, wanted := f.source(time.Since(began) >= ownDomainWait)
+			from, wanted := f.source(time.Since(began) >= ownDomainWait)
 			if !wanted {
 				break
 			}
-			if url == "" {
+			if from == nil {
 				wait.For(ctx, ownDomainWait/4)
 				continue
 			}
-			if err := f.fetch(ctx, url); err != nil {
-				f.options.Logger.Warn("configuration not fetched", "url", url, "error", err)
-				f.distrust(url)
+			if err := f.fetch(ctx, from); err != nil {
+				f.options.Logger.Warn("configuration not fetched", "url", from.url, "error", err)
+				f.distrust(from)
 				wait.For(ctx, fetchRetry)
 			}
 		}
 	}
 }
 
-// source is the host to fetch from, "" for none yet; wanted is false if no host
+// source is the host to fetch from, nil for none yet; wanted is false if no host
 // has anything newer.
-func (f *Follower) source(anyDomain bool) (url string, wanted bool) {
+func (f *Follower) source(anyDomain bool) (from *host, wanted bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	newest := f.version
-	for candidate, h := range f.hosts {
+	for _, h := range f.hosts {
 		if h.version <= f.version {
 			continue
 		}
 		wanted = true
 		if h.version > newest && (anyDomain || h.domain == f.options.Domain) {
-			url, newest = candidate, h.version
+			from, newest = h, h.version
 		}
 	}
-	return url, wanted
+	return from, wanted
 }
 
 // distrust forgets what a host said it has, until it says so again.
-func (f *Follower) distrust(url string) {
+func (f *Follower) distrust(h *host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h := f.hosts[url]; h != nil {
-		h.version = 0
-	}
+	h.version = 0
 }
 
 // fetch takes the document of a host.
-func (f *Follower) fetch(ctx context.Context, url string) error {
+func (f *Follower) fetch(ctx context.Context, from *host) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTP, url, connect.WithAcceptCompression("gzip", nil, nil))
-	response, err := client.Document(ctx, connect.NewRequest(&pb.DocumentRequest{}))
+	response, err := from.client.Document(ctx, connect.NewRequest(&pb.DocumentRequest{}))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -70,6 +70,7 @@
 // host is one control host that is followed.
 type host struct {
 	url     string
+	client  trefoilkeelv1connect.FleetServiceClient
 	live    bool   // heard within silenceAfter
 	version uint64 // newest document there, confirmed
 	domain  string
@@ -130,18 +131,18 @@
 			continue
 		}
 		hostCtx, cancel := context.WithCancel(ctx)
-		h := &host{url: url, cancel: cancel, since: time.Now()}
+		client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTP, url, connect.WithAcceptCompression("gzip", nil, nil))
+		h := &host{url: url, client: client, cancel: cancel, since: time.Now()}
 		f.hosts[url] = h
-		group.Go(func() error { f.follow(hostCtx, url, h); return nil })
+		group.Go(func() error { f.follow(hostCtx, h); return nil })
 	}
 }
 
 // follow watches one host again and again until ctx ends.
-func (f *Follower) follow(ctx context.Context, url string, h *host) {
-	client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTP, url, connect.WithAcceptCompression("gzip", nil, nil))
+func (f *Follower) follow(ctx context.Context, h *host) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		heard, err := f.watch(ctx, client, h)
+		heard, err := f.watch(ctx, h)
 		f.setLive(h, false, err)
 		if heard {
 			pause = firstRetry
@@ -154,12 +155,12 @@
 }
 
 // watch takes events of one host until it fails or is silent.
-func (f *Follower) watch(ctx context.Context, client trefoilkeelv1connect.FleetServiceClient, h *host) (heard bool, err error) {
+func (f *Follower) watch(ctx context.Context, h *host) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(silenceAfter, func() { cancel(&SilentError{After: silenceAfter}) })
 	defer silence.Stop()
-	stream, err := client.Watch(ctx, connect.NewRequest(&pb.WatchFleetRequest{Entry: f.options.Entry}))
+	stream, err := h.client.Watch(ctx, connect.NewRequest(&pb.WatchFleetRequest{Entry: f.options.Entry}))
 	if err != nil {
 		return false, err
 	}
@@ -292,12 +293,11 @@
 // Share tells one live host what this entry has in flight and returns what the
 // others of its failure domain have.
 func (f *Follower) Share(ctx context.Context, domain string, shares map[string]balance.Share) (map[string]balance.Share, error) {
-	url := f.shareHost()
-	if url == "" {
+	h := f.shareHost()
+	if h == nil {
 		return nil, nil
 	}
-	client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTP, url, connect.WithAcceptCompression("gzip", nil, nil))
-	response, err := client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Entry: f.options.Entry, FailureDomain: domain, Shares: sharesToProto(shares)}))
+	response, err := h.client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Entry: f.options.Entry, FailureDomain: domain, Shares: sharesToProto(shares)}))
 	if err != nil {
 		return nil, err
 	}
@@ -306,14 +306,15 @@
 
 // shareHost is the live host that all entries of a failure domain choose alike,
 // in it if there is one.
-func (f *Follower) shareHost() string {
+func (f *Follower) shareHost() *host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	chosen, own := "", false
-	for url, h := range f.hosts {
+	var chosen *host
+	own := false
+	for _, h := range f.hosts {
 		near := h.domain == f.options.Domain
-		if h.live && (chosen == "" || near && !own || near == own && url < chosen) {
-			chosen, own = url, near
+		if h.live && (chosen == nil || near && !own || near == own && h.url < chosen.url) {
+			chosen, own = h, near
 		}
 	}
 	return chosen
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -18,6 +18,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // Bounds of a watch.
@@ -175,20 +176,14 @@
 // Run marks silent endpoints until ctx ends, and then ends the watches.
 func (s *Server) Run(ctx context.Context) error {
 	defer close(s.stopped)
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	wait.Every(ctx, expireInterval, func() {
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		if s.dir.Expire(time.Now()) {
 			s.wake()
 		}
-		s.mu.Unlock()
-	}
+	})
+	return nil
 }
 
 // Endpoints is the number of endpoints in the directory.
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -59,8 +59,8 @@
 		err = &upstream.ProtocolError{Reason: "the answer is too long"}
 	}
 	if err != nil {
-		s.state.Runs-- // failed counts it again
-		return s.failed(ctx, errors.Wrap(err, "read answer"))
+		s.endedBroken(ctx)
+		return retry.Unknown, errors.Wrap(err, "read answer")
 	}
 	s.began()
 	if x.Response.StatusCode >= http.StatusInternalServerError {
@@ -193,10 +193,9 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	s.state.Runs-- // failed counts it again
-	outcome, err := s.failed(ctx, errors.Wrap(err, "read stream"))
+	s.endedBroken(ctx)
 	if s.status != 0 {
 		s.resumes++
 	}
-	return outcome, err
+	return retry.Unknown, errors.Wrap(err, "read stream")
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -195,7 +195,7 @@
 	f.budgetRequest(r.Arrived, r.Service)
 	f.options.Metrics.Add(metrics.ClassOffered+r.Route.Name, 1)
 	s := &serving{Router: f, request: r, writer: w, state: retry.Attempts{
-		Repeatable: r.Route.MayRepeat(), MaxRuns: max(r.Route.MaxAttempts, 1), Target: r.Route.Target}}
+		Repeatable: r.Route.MayRepeat(), MaxRuns: max(r.Route.MaxAttempts, 1)}}
 	err := s.run(ctx)
 	s.count(err)
 	s.log(ctx, err)
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -237,12 +237,7 @@
 
 // failed tells apart what did not leave from what may have run.
 func (s *serving) failed(ctx context.Context, err error) (retry.Outcome, error) {
-	var silent *silenceError
-	result := balance.Failed
-	if ctx.Err() != nil && !errors.As(context.Cause(ctx), &silent) {
-		result = balance.Cancelled
-	}
-	s.ended(result)
+	s.endedBroken(ctx)
 	var unsent *upstream.NotSentError
 	if errors.As(err, &unsent) {
 		s.state.Refused++
@@ -252,6 +247,17 @@
 	return retry.Unknown, err
 }
 
+// endedBroken notes an attempt without a whole answer: the endpoint's fault unless
+// the caller or the clock ended it.
+func (s *serving) endedBroken(ctx context.Context) {
+	var silent *silenceError
+	result := balance.Failed
+	if ctx.Err() != nil && !errors.As(context.Cause(ctx), &silent) {
+		result = balance.Cancelled
+	}
+	s.ended(result)
+}
+
 // began notes the first sign of an answer.
 func (s *serving) began() {
 	now := time.Now()
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -26,7 +26,6 @@
 	Runs       int           // endpoints on which it ran or may have run
 	Refused    int           // endpoints that did not take it
 	Left       time.Duration // until its deadline
-	Target     time.Duration // for an answer
 }
 
 // Next is what to do now.
@@ -44,9 +43,7 @@
 const (
 	// maxRefused bounds the endpoints asked after one did not take the request.
 	maxRefused = 3
-	// minLeft is what a further attempt needs at least, as a part of the target.
-	minLeft = 4
-	// shortest is what any attempt needs.
+	// shortest is the time that a further attempt needs at least.
 	shortest = 40 * time.Millisecond
 )
 
@@ -56,17 +53,17 @@
 	if outcome == Answered {
 		return PassOn
 	}
-	time := a.Left >= max(min(a.Target/minLeft, a.Left), shortest)
+	inTime := a.Left >= shortest
 	switch outcome {
 	case NotSent, NotRun:
 		if a.Runs > 0 && !a.Repeatable {
 			return GiveUp
 		}
-		if time && a.Refused < maxRefused {
+		if inTime && a.Refused < maxRefused {
 			return Again
 		}
 	case Errored, Unknown:
-		if time && a.Repeatable && a.Runs < a.MaxRuns {
+		if inTime && a.Repeatable && a.Runs < a.MaxRuns {
 			return Again
 		}
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -20,7 +20,7 @@
 func TestDecisions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := Attempts{Repeatable: rapid.Bool().Draw(t, "repeatable"), MaxRuns: rapid.IntRange(1, 3).Draw(t, "runs"),
-			Target: 400 * time.Millisecond, Left: 4 * time.Second}
+			Left: 4 * time.Second}
 		for range 12 {
 			outcome := rapid.SampledFrom([]Outcome{Answered, NotSent, NotRun, Errored, Unknown}).Draw(t, "outcome")
 			switch outcome {
@@ -52,7 +52,7 @@
 
 func TestNoTimeLeft(t *testing.T) {
 	g := NewWithT(t)
-	a := Attempts{Repeatable: true, MaxRuns: 3, Target: 400 * time.Millisecond, Left: 20 * time.Millisecond, Refused: 1}
+	a := Attempts{Repeatable: true, MaxRuns: 3, Left: 20 * time.Millisecond, Refused: 1}
 	g.Expect(a.Decide(NotRun)).To(Equal(Decline))
 	a.Runs = 1
 	g.Expect(a.Decide(Unknown)).To(Equal(GiveUp))
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -18,5 +18,19 @@
 	}
 }
 
+// Every calls at an interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, call func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			call()
+		}
+	}
+}
+
 // Until waits until a time. It is false if ctx ended first.
 func Until(ctx context.Context, at time.Time) bool { return For(ctx, time.Until(at)) }
