Serve callers longer after a stop: they follow the balancer late

What was lost came at 2.13 s and its packet a second time at 2.33 s, when the connection was closed.

Change: notice of 3.5 s: two checks a second apart, a second until callers follow, one retransmission. The grace period allows it (at most half of it). An entry that stops no longer logs its control hosts as lost.

A half-closed connection can't carry the late answer, so a longer notice is what is left in HTTP/1.1.

Test: internal/entry, in memory and simulated time: a caller that comes 2.3, 3.2 or 3.4 s after the stop on a kept connection is answered and told to use another. It fails at 2.3 s on the old code.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -19,8 +19,9 @@
 	idleTimeout       = 30 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// noticePeriod is how long a stopping entry goes on with open connections,
-	// which are told to close: the balancer needs two checks a second apart.
-	noticePeriod = 2300 * time.Millisecond
+	// which are told to close: two checks of the balancer a second apart, a second
+	// until callers follow, and a request that is sent again after a loss.
+	noticePeriod = 3500 * time.Millisecond
 	// stopMargin is what is left of the grace period when requests are cut.
 	stopMargin = 300 * time.Millisecond
 )
--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/forward"
+)
+
+// pipes is a listener in memory.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), closed: make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.closed); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial returns the caller's end of a new connection, closed if nobody listens.
+func (p *pipes) dial() net.Conn {
+	near, far := net.Pipe()
+	select {
+	case p.conns <- far:
+	case <-p.closed:
+		_ = near.Close()
+	}
+	return near
+}
+
+// ask sends a request and returns the answer, nil if the connection ended.
+func ask(conn net.Conn) *http.Response {
+	request, _ := http.NewRequest(http.MethodGet, "http://h.example/", nil)
+	if request.Write(conn) != nil {
+		return nil
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return nil
+	}
+	return response
+}
+
+// stopping starts an entry that answers every request at once, lets a caller
+// use a connection and keep it, and stops the entry.
+func stopping(t *testing.T, grace time.Duration) (l *pipes, kept net.Conn, ended chan time.Duration) {
+	g := NewWithT(t)
+	e := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	l = newPipes()
+	ctx, stop := context.WithCancel(t.Context())
+	ended = make(chan time.Duration, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	var stopped time.Time
+	go func() {
+		err := e.ServeCallers(ctx, l, handler, grace, slog.New(slog.DiscardHandler))
+		g.Expect(err).NotTo(HaveOccurred())
+		ended <- time.Since(stopped)
+	}()
+	kept = l.dial()
+	g.Expect(ask(kept)).NotTo(BeNil())
+	stopped = time.Now()
+	stop()
+	return l, kept, ended
+}
+
+// Callers follow the balancer late: it asks once a second and believes two
+// answers, callers ask it when they need a connection, and a request that got
+// lost on its way comes again. Until then a kept connection must be served.
+func TestAStoppingEntryAnswersCallersThatFollowLate(t *testing.T) {
+	for _, late := range []time.Duration{100 * time.Millisecond, 2300 * time.Millisecond, 3200 * time.Millisecond, 3400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			l, kept, ended := stopping(t, 8*time.Second)
+			time.Sleep(late)
+			fresh := l.dial()
+			for _, conn := range []net.Conn{kept, fresh} {
+				response := ask(conn)
+				g.Expect(response).NotTo(BeNil(), late.String())
+				g.Expect(response.Close).To(BeTrue(), "the caller is told to use another connection")
+			}
+			g.Expect(<-ended).To(BeNumerically("<", 4*time.Second))
+		})
+	}
+}
+
+// A short grace period still leaves time for the requests that run.
+func TestAShortGracePeriodIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, kept, ended := stopping(t, 2*time.Second)
+		defer func() { _ = kept.Close() }()
+		NewWithT(t).Expect(<-ended).To(BeNumerically("<", 2*time.Second))
+	})
+}
+
+// A stream that may outlast the entry is declined at once, as not run.
+func TestAStoppingEntryDeclinesStreamsThatMayOutlastIt(t *testing.T) {
+	g := NewWithT(t)
+	e := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	e.Stop(time.Now().Add(time.Second))
+	err := e.Serve(t.Context(), nil, &forward.Request{Route: &catalog.Route{Kind: catalog.Stream}, Deadline: time.Now().Add(2 * time.Second)})
+	var refused *forward.Refusal
+	g.Expect(err).To(BeAssignableToTypeOf(refused))
+	g.Expect(err.(*forward.Refusal).RetryAfter).To(BeNumerically(">", 0))
+	g.Expect(e.Ready()).To(BeFalse())
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -143,6 +143,9 @@
 	pause := firstRetry
 	for ctx.Err() == nil {
 		heard, err := f.watch(ctx, h)
+		if ctx.Err() != nil {
+			return // a stop of this entry is no loss of the host
+		}
 		f.setLive(h, false, err)
 		if heard {
 			pause = firstRetry
