Give a prompt one home in all failure domains, hear load from all

Change: the home of a prompt is chosen among the endpoints of all failure domains whose entries are heard. Quiet endpoints follow the urgent streams of all domains.

Ruled out: homes over all domains without the exchange, tried earlier without a gain, since load elsewhere was assumed.

Tests: subjects asked for from three domains have one home; none where nobody is heard; load from other domains counts; a domain that is cut off becomes unknown after a while, not at once.

--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Result says how an attempt ended.
 type Result uint8
@@ -164,10 +167,21 @@
 	return shares
 }
 
-// Others takes what the other entries have in flight, by endpoint.
-func (t *Table) Others(now time.Time, shares map[string]Share) {
+// Others takes what the other entries have in flight: by their failure domain,
+// then by endpoint. A failure domain that is missing is not known now.
+func (t *Table) Others(now time.Time, domains map[string]map[string]Share) {
+	known := map[string]bool{}
+	for domain := range domains {
+		known[domain] = true
+	}
+	changed := !maps.Equal(known, t.known)
+	t.known = known
 	for id, e := range t.endpoints {
-		e.others = shares[id]
+		e.known = t.known[e.Domain]
+		e.others = Share{}
+		for _, shares := range domains {
+			e.others = e.others.Add(shares[id])
+		}
 	}
-	t.adjustQuiet(now)
+	t.adjustQuiet(now, changed)
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -114,8 +114,9 @@
 	homeShift      = 32
 )
 
-// home returns the endpoint that all entries of a failure domain prefer for a
-// prompt while none is known to hold more of it.
+// home returns the endpoint that all entries prefer for a prompt while none is
+// known to hold more of it. Failure domains whose entries are not heard are left
+// out: their load is not known, and they may be out of reach.
 func (t *Table) home(fit []*endpoint, r *Request, quiet bool) *endpoint {
 	key, ok := sharedKey(r.Parts)
 	if !ok {
@@ -124,7 +125,7 @@
 	var home *endpoint
 	var best uint64
 	for _, e := range fit {
-		if e.cross || quiet && e.quiet {
+		if e.cross && !e.known || quiet && e.quiet {
 			continue
 		}
 		if weight := mix(key ^ e.hash); home == nil || weight > best {
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -10,7 +10,7 @@
 	// to what is assumed of another failure domain.
 	freshReport = 300 * time.Millisecond
 	// assumedShare is the part of the own failure domain's load that is assumed
-	// where nothing is known: the entries there don't tell us theirs.
+	// where the entries of a failure domain aren't heard.
 	assumedShare = 0.9
 )
 
@@ -20,7 +20,7 @@
 	running, waiting, backlog int
 }
 
-// knownDemand is our own requests, what the others of the failure domain shared,
+// knownDemand is our own requests, what the other entries shared,
 // and what the endpoint reported, whichever is more.
 func (e *endpoint) knownDemand(now time.Time) demand {
 	d := demand{running: e.running + e.others.Running, waiting: e.waiting + e.others.Waiting, backlog: e.unread + e.others.Unread}
@@ -66,12 +66,12 @@
 	return 0
 }
 
-// demandNow is the demand to reckon with. Without a fresh report, an endpoint of
-// another failure domain is assumed to be about as busy as ours: else all
-// entries would take each other's endpoints for idle.
+// demandNow is the demand to reckon with. Where neither the entries of another
+// failure domain are heard nor a fresh report came, its endpoints are assumed to
+// be about as busy as ours: else all entries would take each other's for idle.
 func (e *endpoint) demandNow(w *weighing) demand {
 	d := e.knownDemand(w.now)
-	if !e.cross || w.now.Sub(e.loadAt) < freshReport {
+	if !e.cross || e.known || w.now.Sub(e.loadAt) < freshReport {
 		return d
 	}
 	usual := w.usual[kindOf(e)]
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,9 +25,7 @@
 
 // Intervals of an entry's duties.
 const (
-	tidyInterval  = time.Second
-	shareInterval = 100 * time.Millisecond
-	shareTimeout  = 300 * time.Millisecond
+	tidyInterval = time.Second
 	// directoryWait is how long a new entry waits for the endpoints of its
 	// services to be known before it counts as ready without them.
 	directoryWait = 1500 * time.Millisecond
@@ -172,7 +170,8 @@
 		wait.Every(ctx, tidyInterval, func() { e.router.Tidy(time.Now()); e.gauges() })
 		return nil
 	})
-	group.Go(func() error { wait.Every(ctx, shareInterval, func() { e.share(ctx) }); return nil })
+	x := &exchange{sharer: e.follower, domain: e.options.Domain, entry: e, heard: map[string]heard{}}
+	group.Go(func() error { return x.run(ctx) })
 	return group.Wait()
 }
 
@@ -212,19 +211,6 @@
 	return true
 }
 
-// share exchanges what is in flight with the entries of the failure domain.
-func (e *Entry) share(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	others, err := e.follower.Share(ctx, e.options.Domain, e.router.Shares())
-	if err != nil {
-		// What the others had in flight is out of date by the next exchange.
-		e.options.Logger.Debug("exchange of load failed", "error", err)
-		others = nil
-	}
-	e.router.Others(others)
-}
-
 // gauges publishes what is known.
 func (e *Entry) gauges() {
 	status := e.follower.Status()
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
@@ -293,32 +295,66 @@
 	return s
 }
 
+// NoHostError says that no control host is live that could be asked.
+type NoHostError struct {
+	Domain string // failure domain
+}
+
+// Error names the failure domain.
+func (e *NoHostError) Error() string { return "no control host is live for failure domain " + e.Domain }
+
 // Share tells one live host what this entry has in flight and returns what the
-// others of its failure domain have.
-func (f *Follower) Share(ctx context.Context, domain string, shares map[string]balance.Share) (map[string]balance.Share, error) {
-	h := f.shareHost()
+// others of its failure domain have. An error is a *NoHostError or of the call.
+func (f *Follower) Share(ctx context.Context, shares map[string]balance.Share) (map[string]balance.Share, error) {
+	h, _ := f.shareHost(f.options.Domain)
+	return share(ctx, h, &pb.ShareRequest{Entry: f.options.Entry, FailureDomain: f.options.Domain, Shares: sharesToProto(shares)})
+}
+
+// SharesOf returns what the entries of another failure domain have in flight, as
+// a live host there knows. An error is a *NoHostError or of the call.
+func (f *Follower) SharesOf(ctx context.Context, domain string) (map[string]balance.Share, error) {
+	h, near := f.shareHost(domain)
+	if !near {
+		h = nil
+	}
+	return share(ctx, h, &pb.ShareRequest{FailureDomain: domain})
+}
+
+// share makes the call.
+func share(ctx context.Context, h *host, request *pb.ShareRequest) (map[string]balance.Share, error) {
 	if h == nil {
-		return nil, nil
+		return nil, errors.WithStack(&NoHostError{Domain: request.FailureDomain})
 	}
-	response, err := h.client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Entry: f.options.Entry, FailureDomain: domain, Shares: sharesToProto(shares)}))
+	response, err := h.client.Share(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
 	return sharesFromProto(response.Msg.Shares), nil
 }
 
-// shareHost is the live host that all entries of a failure domain choose alike,
-// in it if there is one.
-func (f *Follower) shareHost() *host {
+// Domains are the failure domains that control hosts have told of, but its own.
+func (f *Follower) Domains() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	domains := map[string]bool{}
+	for _, h := range f.hosts {
+		if h.domain != "" && h.domain != f.options.Domain {
+			domains[h.domain] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
+// shareHost is the live host that all entries choose alike for a failure
+// domain; near says that it is in it.
+func (f *Follower) shareHost(domain string) (chosen *host, near bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var chosen *host
-	own := false
 	for _, h := range f.hosts {
-		near := h.domain == f.options.Domain
-		if h.live && (chosen == nil || near && !own || near == own && h.url < chosen.url) {
-			chosen, own = h, near
+		there := h.domain == domain
+		if h.live && (chosen == nil || there && !near || there == near && h.url < chosen.url) {
+			chosen, near = h, there
 		}
 	}
-	return chosen
+	return chosen, near
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -298,12 +298,14 @@
 }
 
 // Share keeps what an entry has in flight and returns the sums of the others of
-// its failure domain.
+// the failure domain. A call without an entry only asks.
 func (s *Server) Share(_ context.Context, req *connect.Request[pb.ShareRequest]) (*connect.Response[pb.ShareResponse], error) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shares[req.Msg.Entry] = entryShare{domain: req.Msg.FailureDomain, at: now, shares: req.Msg.Shares}
+	if req.Msg.Entry != "" {
+		s.shares[req.Msg.Entry] = entryShare{domain: req.Msg.FailureDomain, at: now, shares: req.Msg.Shares}
+	}
 	sums := map[string]balance.Share{}
 	for name, other := range s.shares {
 		if now.Sub(other.at) > shareAge {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -143,11 +143,12 @@
 	return f.table.Shares(time.Now())
 }
 
-// Others takes what the other routers of the failure domain have in flight.
-func (f *Router) Others(shares map[string]balance.Share) {
+// Others takes what the other entries have in flight, by failure domain and
+// endpoint.
+func (f *Router) Others(domains map[string]map[string]balance.Share) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.Others(time.Now(), shares)
+	f.table.Others(time.Now(), domains)
 }
 
 // Knows reports whether any endpoint of a service is known.
