Spread urgent streams, keep long prompts from engines that run many

Tests, both failing before: a burst with a hot subject is spread; no long prompt is sent beside many urgent streams, however late the rest.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -526,3 +526,48 @@
 	c, _ := send(g, table, epoch, urgent(1))
 	g.Expect(c.ID).NotTo(Equal("a0"))
 }
+
+// Pattern: a burst of urgent streams, a good part of them of one hot subject. No
+// quiet engine takes so many that all of its streams pause for long.
+func TestABurstOfUrgentStreamsIsSpread(t *testing.T) {
+	g := NewWithT(t)
+	table, counts := heard("a", 8), map[string]int{}
+	all := map[string]map[string]Share{"a": {}, "b": {}, "c": {}}
+	for i := range uint64(150) {
+		session := i
+		if i%3 == 0 {
+			session = 1000
+		}
+		c, a := send(g, table, epoch.Add(time.Duration(i)*time.Millisecond), urgent(session))
+		table.Began(epoch, a, Load{})
+		counts[c.ID]++
+		table.Others(epoch, all)
+	}
+	for id, count := range counts {
+		g.Expect(count).To(BeNumerically("<=", 3*quietStreams/2), "%s of %v", id, counts)
+	}
+}
+
+// Pattern: overload by long prompts while urgent streams run. However late the
+// other engines are, none is sent beside many urgent streams.
+func TestOverloadDoesNotReachUrgentStreams(t *testing.T) {
+	g := NewWithT(t)
+	table := heard("a", 6)
+	busy := map[string]Share{}
+	streams := map[string]bool{}
+	for i := range uint64(80) {
+		c, a := send(g, table, epoch, urgent(i))
+		table.Began(epoch, a, Load{})
+		streams[c.ID] = true
+	}
+	for id := range table.endpoints {
+		if !streams[id] {
+			busy[id] = Share{Running: 25, Waiting: 8, Unread: 90_000}
+		}
+	}
+	table.Others(epoch, map[string]map[string]Share{"a": busy, "b": {}, "c": {}})
+	for i := range uint64(60) {
+		c, _ := send(g, table, epoch, digest(i, 2500))
+		g.Expect(streams).NotTo(HaveKey(c.ID))
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -178,8 +178,7 @@
 	c.First = time.Duration(float64(first) * w.pace)
 	c.Cost = timeCost(first, r.Target)
 	if e != w.home {
-		// Reading the shared parts at their home is paid once, for all that follow.
-		c.Cost += time.Duration(max(w.sharedTokens-held, 0)) * t.config.ReadToken
+		c.Cost += t.rereadCost(r, max(w.sharedTokens-held, 0))
 	}
 	c.Cost += e.crowding(now, r, d, c.Unread) + e.faults(w, speed)
 	if w.quiet && r.Prompt > 0 {
@@ -192,6 +191,16 @@
 	return c
 }
 
+// rereadCost is what reading shared tokens away from their home costs: there it
+// is paid once, for all that follow.
+func (t *Table) rereadCost(r *Request, tokens int) time.Duration {
+	cost := time.Duration(tokens) * t.config.ReadToken
+	if r.urgent() > 0 {
+		cost /= urgentReread
+	}
+	return cost
+}
+
 // faults is what an endpoint costs that does worse than the others.
 func (e *endpoint) faults(w *weighing, speed float64) time.Duration {
 	cost := time.Duration(max(e.errors.at(w.now)-w.usualErrors-errorSlack, 0) * float64(errorCost))
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -16,7 +16,7 @@
 	// they have in flight, farInterval how often they ask the other failure
 	// domains, which costs bytes between these.
 	nearInterval = 100 * time.Millisecond
-	farInterval  = 200 * time.Millisecond
+	farInterval  = 400 * time.Millisecond
 	shareTimeout = 300 * time.Millisecond
 	// heardAge is how long what was heard of a failure domain counts: a lost
 	// answer or two must not move the homes of prompts.
