Tell from the lines of all hosts why a request ended as it did

Cause: OPERATIONS led from a request's id to its cause by hand, over the lines of some dozens of hosts.

Ruled out: a store or index of lines; one pass over standard input is enough.

--- /dev/null
+++ b/cmd/trefoilkeel/explain.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/explain"
+)
+
+// explainCommand names the cause of one request's end.
+type explainCommand struct {
+	Request string   `arg:"" help:"Id of the request."`
+	Logs    *os.File `arg:"" optional:"" default:"-" help:"File with the lines of all hosts, standard input by default."`
+	JSON    bool     `name:"json" help:"Print JSON for programs."`
+}
+
+// Run reads the lines and prints the story of the request.
+func (c *explainCommand) Run(out io.Writer) error {
+	log, err := explain.Read(c.Logs, c.Request)
+	if err != nil {
+		return err
+	}
+	report, err := log.Report()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		text, err := json.Marshal(report)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		return printLine(out, string(text))
+	}
+	return printReport(out, report)
+}
+
+// printReport writes a report for people: the cause first.
+func printReport(out io.Writer, r *explain.Report) error {
+	lines := []string{"request  " + r.Request, "cause    " + r.Cause}
+	if r.Alike > 0 {
+		lines = append(lines, fmt.Sprintf("alike    %d other requests failed there within two seconds: look at the endpoint", r.Alike))
+	}
+	lines = append(lines, "", "its lines:")
+	lines = append(lines, r.Lines...)
+	if len(r.Around) > 0 {
+		lines = append(lines, "", "what its hosts and endpoints said before:")
+		lines = append(lines, r.Around...)
+	}
+	for _, l := range lines {
+		if err := printLine(out, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/trefoilkeel/main.go
+++ b/cmd/trefoilkeel/main.go
@@ -18,6 +18,7 @@
 	Keys       keysCommand       `cmd:"" help:"Make keys."`
 	Standin    standinCommand    `cmd:"" help:"Run a stand-in engine or service, for tests and trials."`
 	Experiment experimentCommand `cmd:"" help:"Measure the system under load and faults."`
+	Explain    explainCommand    `cmd:"" help:"Tell from the lines of all hosts why a request ended as it did."`
 	Demo       demoCommand       `cmd:"" help:"Run a whole system on loopback and send it some requests."`
 }
 
--- a/cmd/trefoilkeel/tool_test.go
+++ b/cmd/trefoilkeel/tool_test.go
@@ -209,4 +209,23 @@
 		sum := sha256.Sum256([]byte(made.Key))
 		Expect(made.Hash).To(Equal(hex.EncodeToString(sum[:])))
 	})
+
+	It("explains the end of a request from the lines of all hosts", func() {
+		lines := filepath.Join(GinkgoT().TempDir(), "lines")
+		Expect(os.WriteFile(lines, []byte(`{"time":"2026-06-25T23:00:01Z","msg":"request ended","host":"h1","request":"r1","endpoint":"e1","runs":1,"error":"outcome_unknown: unexpected EOF"}
+{"time":"2026-06-25T23:00:00Z","msg":"endpoint changed","host":"c1","endpoint":"e1","state":"draining"}
+`), 0o600)).To(Succeed())
+		out, code, err := run("explain", "r1", lines)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(0))
+		Expect(out).To(And(ContainSubstring("sent to e1 and perhaps run, so not sent again: unexpected EOF"), ContainSubstring("draining")))
+		out, _, err = run("explain", "--json", "r1", lines)
+		Expect(err).NotTo(HaveOccurred())
+		var report struct{ Served bool }
+		Expect(json.Unmarshal([]byte(out), &report)).To(Succeed())
+		Expect(report.Served).To(BeFalse())
+		_, code, err = run("explain", "r2", lines)
+		Expect(code).To(Equal(exitFailed))
+		Expect(err).To(MatchError(ContainSubstring("no line names request r2")))
+	})
 })
