Call failure domains heard throughout, name a cost for what it is

An ignored error of a function that can't fail is gone. No behaviour is changed; the tests of balance, dispatch, entry and router pass.

--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -168,16 +168,16 @@
 }
 
 // Others takes what the other entries have in flight: by their failure domain,
-// then by endpoint. A failure domain that is missing is not known now.
+// then by endpoint. A failure domain that is missing is not heard now.
 func (t *Table) Others(now time.Time, domains map[string]map[string]Share) {
-	known := map[string]bool{}
+	heard := map[string]bool{}
 	for domain := range domains {
-		known[domain] = true
+		heard[domain] = true
 	}
-	changed := !maps.Equal(known, t.known)
-	t.known = known
+	changed := !maps.Equal(heard, t.heard)
+	t.heard = heard
 	for id, e := range t.endpoints {
-		e.known = t.known[e.Domain]
+		e.heard = t.heard[e.Domain]
 		e.others = Share{}
 		for _, shares := range domains {
 			e.others = e.others.Add(shares[id])
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -126,7 +126,7 @@
 	cross bool
 	hash  uint64 // of the id
 	quiet bool   // kept free of long prompts
-	known bool   // what the entries of its failure domain have in flight is known
+	heard bool   // the entries of its failure domain are
 
 	running int // our requests past their first event
 	waiting int // our requests before it
@@ -153,7 +153,7 @@
 	config     Config
 	endpoints  map[string]*endpoint
 	services   map[string][]*endpoint
-	known      map[string]bool // failure domains whose entries' requests are known
+	heard      map[string]bool // failure domains whose entries tell what they have in flight
 	scratch    []*endpoint
 	urgentAt   map[string]time.Time // last urgent stream of a service
 	quietNeeds map[string]*quietNeed
@@ -164,7 +164,7 @@
 
 // New returns an empty table.
 func New(config Config) *Table {
-	return &Table{config: config.withDefaults(), endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, known: map[string]bool{}, urgentAt: map[string]time.Time{},
+	return &Table{config: config.withDefaults(), endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, heard: map[string]bool{}, urgentAt: map[string]time.Time{},
 		quietNeeds: map[string]*quietNeed{}, paces: map[string]*pace{}, lastRanks: map[string]int{}, caches: map[string]int{}}
 }
 
@@ -182,7 +182,7 @@
 		return
 	}
 	t.drop(known)
-	added := &endpoint{Endpoint: e, cross: e.Domain != t.config.Domain, known: t.known[e.Domain], hash: hashID(e.ID), speed: 1, parts: newPartCache(), maxRequests: maxRequests}
+	added := &endpoint{Endpoint: e, cross: e.Domain != t.config.Domain, heard: t.heard[e.Domain], hash: hashID(e.ID), speed: 1, parts: newPartCache(), maxRequests: maxRequests}
 	t.endpoints[e.ID] = added
 	t.services[e.Service] = append(t.services[e.Service], added)
 	t.setQuiet(e.Service)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -125,7 +125,7 @@
 	var home *endpoint
 	var best uint64
 	for _, e := range fit {
-		if e.cross && !e.known || quiet && e.quiet {
+		if e.cross && !e.heard || quiet && e.quiet {
 			continue
 		}
 		if weight := mix(key ^ e.hash); home == nil || weight > best {
--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -13,9 +13,9 @@
 	// disturbShare is the part of its reading time that a prompt costs for each
 	// urgent stream beside it.
 	disturbShare = 1.0
-	// fullCost is what each request beyond quietStreams costs an urgent stream:
+	// crowdedCost is what each request beyond quietStreams costs an urgent stream:
 	// from there on, any prompt beside it makes it pause too long.
-	fullCost = 10 * time.Millisecond
+	crowdedCost = 10 * time.Millisecond
 	// urgentReread divides what reading a shared part again costs, for urgent
 	// streams: theirs are short, and their place matters more.
 	urgentReread = 4
@@ -51,7 +51,7 @@
 	}
 	cost := time.Duration(float64(d.running+d.waiting) * float64(crowdGap) / float64(r.Gap) * float64(time.Millisecond))
 	if r.urgent() > 0 {
-		cost += time.Duration(max(d.running+d.waiting-quietStreams, 0)) * fullCost
+		cost += time.Duration(max(d.running+d.waiting-quietStreams, 0)) * crowdedCost
 		return cost + time.Duration(heatShare*float64(readTime(e.heat.at(now)+e.others.Heat)))
 	}
 	beside := e.urgent + e.others.Urgent
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -71,7 +71,7 @@
 // be about as busy as ours: else all entries would take each other's for idle.
 func (e *endpoint) demandNow(w *weighing) demand {
 	d := e.knownDemand(w.now)
-	if !e.cross || e.known || w.now.Sub(e.loadAt) < freshReport {
+	if !e.cross || e.heard || w.now.Sub(e.loadAt) < freshReport {
 		return d
 	}
 	usual := w.usual[kindOf(e)]
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -33,7 +33,7 @@
 	quietFor = 10 * time.Second
 )
 
-// quietNeed is how many quiet endpoints each known failure domain needs for a
+// quietNeed is how many quiet endpoints each failure domain that is heard needs for a
 // service, and since when fewer would do.
 type quietNeed struct {
 	count     int
@@ -60,7 +60,7 @@
 			return 1
 		})
 		count := len(all) / quietPart
-		if need := t.quietNeeds[service]; need != nil && (domain == t.config.Domain || t.known[domain]) {
+		if need := t.quietNeeds[service]; need != nil && (domain == t.config.Domain || t.heard[domain]) {
 			count = min(need.count, len(all)/quietMost)
 		}
 		for _, e := range all[:max(count, 1)] {
@@ -69,10 +69,10 @@
 	}
 }
 
-// adjustQuiet goes by the urgent streams that the entries of the known failure
+// adjustQuiet goes by the urgent streams that the entries of the heard failure
 // domains have running, spread over these.
-func (t *Table) adjustQuiet(now time.Time, knownChanged bool) {
-	perEngine := quietStreams * max(len(t.known), 1)
+func (t *Table) adjustQuiet(now time.Time, heardChanged bool) {
+	perEngine := quietStreams * max(len(t.heard), 1)
 	for service, all := range t.services {
 		streams := 0
 		for _, e := range all {
@@ -86,7 +86,7 @@
 			need = &quietNeed{}
 			t.quietNeeds[service] = need
 		}
-		if need.change(now, (streams+perEngine-1)/perEngine) || knownChanged {
+		if need.change(now, (streams+perEngine-1)/perEngine) || heardChanged {
 			t.setQuiet(service)
 		}
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -12,13 +12,12 @@
 // connection only if the peer has said that it did not take the request, as a
 // peer that stops does for what crosses its goodbye.
 func NewAttempt(ctx context.Context, method, target string, body []byte) (*http.Request, error) {
-	open := func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
-	first, _ := open()
-	request, err := http.NewRequestWithContext(ctx, method, target, first)
+	open := func() io.ReadCloser { return io.NopCloser(bytes.NewReader(body)) }
+	request, err := http.NewRequestWithContext(ctx, method, target, open())
 	if err != nil {
 		return nil, err
 	}
 	request.ContentLength = int64(len(body))
-	request.GetBody = open
+	request.GetBody = func() (io.ReadCloser, error) { return open(), nil }
 	return request, nil
 }
