Explain ten failed requests drawn at random, mend two findings

Nine of ten are told by it; the tenth points to an endpoint that was silent, which writes no lines, and is listed so.

--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -51,7 +51,7 @@
 	slices.SortStableFunc(log.own, byTime)
 	slices.SortStableFunc(log.beliefs, byTime)
 	last := log.last()
-	out := &Report{Request: log.Request}
+	out := &Report{Request: log.Request, Lines: []string{}, Around: []string{}}
 	out.Served, out.Cause = cause(last)
 	if endpoint := last.text("endpoint"); endpoint != "" && !out.Served {
 		out.Alike = log.alike(last.Time, endpoint)
@@ -140,7 +140,7 @@
 	case failed == "no_endpoint" || failed == "not_started" || failed == "unavailable":
 		return false, fmt.Sprintf("refused after %g ms as not run: %s", took, detail)
 	case failed == "outcome_unknown":
-		return false, fmt.Sprintf("sent to %s and perhaps run, so not sent again: %s", l.text("endpoint"), detail)
+		return false, fmt.Sprintf("sent to %s and perhaps run, and not sent again: %s%s", l.text("endpoint"), detail, gone(l))
 	case failed == "answer broken off":
 		return false, fmt.Sprintf("its answer from %s was cut after it had begun (first event after %g ms of %g): %s%s",
 			l.text("endpoint"), l.number("first_ms"), took, detail, gone(l))
