Leave a late endpoint only if another attempt may follow

The silence ended the attempt first and asked the budget for further attempts after, which was spent by then: the caller lost an answer that was still to come.

Change: when an endpoint is silent for its time, the entry first looks whether another endpoint may be chosen and takes the next attempt from the budget; otherwise it waits on and looks again after as long.

Test, failing before: a late endpoint with no budget, and with no other endpoint, serves its request.

Ruled out: waiting without any bound; an endpoint that hangs would then keep what can move.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -265,6 +265,27 @@
 	g.Eventually(left, "1s").Should(BeClosed())
 }
 
+// Pattern: a service under overload, whose endpoints all begin late while the
+// budget for further attempts is spent. A late endpoint is not left unless another
+// attempt may follow: leaving it would only cost the caller its answer.
+func TestASilentEndpointIsKeptWithoutAnother(t *testing.T) {
+	late := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(minPatience + 300*time.Millisecond)
+		good(w, r)
+	}
+	for name, change := range map[string]func(f *fleetOf){
+		"no budget":         func(f *fleetOf) { f.options.Budget = retry.NewBudget(0, 0, time.Second, 1) },
+		"no other endpoint": func(f *fleetOf) { f.Endpoints([]directory.Endpoint{{ID: "e1", State: directory.Gone, Born: 1}}) },
+	} {
+		g := NewWithT(t)
+		f, w := newFleet(t, late, good), httptest.NewRecorder()
+		change(f)
+		g.Expect(f.Serve(context.Background(), w, request(catalog.Repeatable, false))).To(Succeed(), name)
+		g.Expect(w.Body.String()).To(Equal("got body"), name)
+		g.Expect(f.arrivals()).To(HaveLen(1), name)
+	}
+}
+
 // The work of a caller that has left is ended at the endpoint at once.
 func TestCallerLeaves(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/forward/serving.go
+++ b/internal/forward/serving.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,7 +51,8 @@
 	request *Request
 	writer  http.ResponseWriter
 	state   retry.Attempts
-	tried   []string
+	tried   []string    // changed under the router's lock
+	paid    atomic.Bool // the next attempt is taken from the budget already
 
 	choice    balance.Choice
 	attempt   *balance.Attempt
@@ -89,7 +91,7 @@
 		if s.state.Decide(outcome) != retry.Again {
 			return s.finish(err)
 		}
-		if outcome != retry.NotSent && !s.budgetTake(time.Now(), s.request.Service) {
+		if outcome != retry.NotSent && !s.paid.Swap(false) && !s.budgetTake(time.Now(), s.request.Service) {
 			return s.finish(err)
 		}
 		s.note("request tried again", outcome, err)
@@ -118,9 +120,7 @@
 // choose picks the endpoint of the next attempt, waiting for one for a short
 // part of the target.
 func (s *serving) choose(ctx context.Context) error {
-	wanted := balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
-		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Rank: s.request.Route.Rank,
-		Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
+	wanted := s.wanted()
 	began := time.Now()
 	for {
 		now := time.Now()
@@ -128,11 +128,11 @@
 		choice, err := s.table.Choose(now, wanted)
 		if err == nil {
 			s.attempt = s.table.Sent(now, wanted, choice)
+			s.tried = append(s.tried, choice.ID)
 		}
 		s.mu.Unlock()
 		if err == nil {
 			s.choice, s.load = choice, balance.Load{}
-			s.tried = append(s.tried, choice.ID)
 			return nil
 		}
 		if now.Sub(began) > s.roomWait(err) || !wait.For(ctx, roomPoll) {
@@ -141,6 +141,13 @@
 	}
 }
 
+// wanted is what the choice needs to know of the request.
+func (s *serving) wanted() balance.Request {
+	return balance.Request{Service: s.request.Service, Prompt: s.request.Prompt, Parts: s.request.Parts,
+		Answer: s.request.Answer, Bytes: len(s.request.Body), Urgency: s.request.Urgency, Rank: s.request.Route.Rank,
+		Target: s.request.Route.Target, Gap: s.request.Route.GapTarget, Tried: s.tried}
+}
+
 // roomWait is how long a request waits for an endpoint. Where none of the
 // service is known the directory is still being learned.
 func (s *serving) roomWait(err error) time.Duration {
@@ -155,7 +162,7 @@
 func (s *serving) try(ctx context.Context) (retry.Outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := s.guard(cancel, s.firstPatience())
+	patience := s.guard(ctx, cancel, s.firstPatience())
 	defer patience.Stop()
 	x, err := s.client.Do(ctx, s.choice.Address, s.outgoing(), s.request.Body)
 	if err != nil {
@@ -201,12 +208,40 @@
 	timer *time.Timer
 }
 
-// guard cancels after a silence; 0 for no bound.
-func (s *serving) guard(cancel context.CancelCauseFunc, after time.Duration) *patience {
+// guard cancels an attempt after a silence if another attempt may follow, else
+// looks again after as long; 0 for no bound.
+func (s *serving) guard(ctx context.Context, cancel context.CancelCauseFunc, after time.Duration) *patience {
+	p := &patience{}
 	if after == 0 {
-		return &patience{}
+		return p
+	}
+	p.timer = time.AfterFunc(noPatience, func() {
+		switch {
+		case ctx.Err() != nil:
+		case s.mayLeave():
+			cancel(&silenceError{after: after})
+		default:
+			p.timer.Reset(after)
+		}
+	})
+	p.timer.Reset(after)
+	return p
+}
+
+// noPatience is longer than any request: the timer is set before it can fire.
+const noPatience = time.Hour
+
+// mayLeave reports whether another attempt may follow now, and pays for it:
+// without one, leaving a late endpoint would only cost the caller its answer.
+func (s *serving) mayLeave() bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.table.Choose(now, s.wanted()); err != nil || !s.options.Budget.Take(now, s.request.Service) {
+		return false
 	}
-	return &patience{timer: time.AfterFunc(after, func() { cancel(&silenceError{after: after}) })}
+	s.paid.Store(true)
+	return true
 }
 
 // Reset begins the wait anew.
