--- a/cmd/trefoilkeeld/main.go
+++ b/cmd/trefoilkeeld/main.go
@@ -28,7 +28,7 @@
 type cli struct {
 	Settings string `help:"TOML file with the settings." type:"path" xor:"mode" required:""`
 	Embedded bool   `help:"Run a whole system with stand-in endpoints on loopback." xor:"mode" required:""`
-	Platform string `help:"Run a role (entry, control) on the platform that names the settings in its environment." xor:"mode" required:"" enum:"entry,control,"  default:""`
+	Platform string `help:"Run a role (entry, control) on the platform that names the settings in its environment." xor:"mode" required:"" enum:"entry,control"`
 	Check    bool   `help:"Only check the settings."`
 	Router   string `help:"Address of the embedded router." default:"127.0.0.1:7100"`
 	Control  string `help:"Address of the embedded control host." default:"127.0.0.1:7300"`
