Limit the head of an endpoint's response

Cause: net/http's parser of responses has no limit for the head, so an endpoint that sends a header without end fills the entry's memory (measured: out of memory at 3.8 GB with 200 such connections) and holds the request. Change: what is read between the start of a response and its body is limited to 32 KiB, interim responses included. The request then ends as one that may have run, and the connection is closed.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,7 +35,10 @@
 	concurrentSendBytes = 4 << 10
 	readBufferBytes     = 4 << 10
 	maxInterimResponses = 5
-	keepAliveHeader     = "Keep-Alive"
+	// maxHeadBytes limits the status line and headers of a response, together with those
+	// of the interim responses before it.
+	maxHeadBytes    = 32 << 10
+	keepAliveHeader = "Keep-Alive"
 )
 
 // NotSentError reports that no byte of a request was sent: it did not run.
@@ -83,7 +86,8 @@
 // conn is a connection with at most one request at a time.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader    *bufio.Reader // reads through head
+	head      *headLimiter
 	address   string
 	requests  int       // completed
 	expiresAt time.Time // not reused after this
@@ -113,7 +117,9 @@
 		x.abort()
 		return nil, &NoResponseError{Address: address, Reused: connection.requests > 0, Cause: cancellationCause(ctx, err)}
 	}
+	connection.head.begin()
 	x.Response, err = readFinalResponse(connection.reader, r)
+	connection.head.end()
 	if err != nil {
 		x.abort()
 		return nil, &NoResponseError{Address: address, Reused: connection.requests > 0, Cause: cancellationCause(ctx, err)}
@@ -219,6 +225,10 @@
 	_ = x.conn.Close()
 }
 
+// CloseConnectionAfterResponse closes the connection after the response, instead of
+// returning it to the pool.
+func (x *Exchange) CloseConnectionAfterResponse() { x.Response.Close = true }
+
 // Close ends the exchange. If the response was not read to its end, the connection is
 // closed.
 func (x *Exchange) Close() { x.abort() }
@@ -244,7 +254,33 @@
 	c.mu.Lock()
 	c.stats.Dials++
 	c.mu.Unlock()
-	return &conn{Conn: dialed, reader: bufio.NewReaderSize(dialed, readBufferBytes), address: address}, nil
+	head := &headLimiter{Reader: dialed}
+	return &conn{Conn: dialed, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address}, nil
+}
+
+// headLimiter limits the bytes that are read between begin and end. The parser of
+// net/http has no limit of its own for the head of a response.
+type headLimiter struct {
+	io.Reader
+	active    bool
+	remaining int
+}
+
+func (l *headLimiter) begin() { l.active, l.remaining = true, maxHeadBytes }
+
+func (l *headLimiter) end() { l.active = false }
+
+// Read fails with a *ProtocolError once the head is longer than maxHeadBytes.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.Reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, &ProtocolError{Reason: "the head of the answer is too long"}
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // SetTCPUserTimeout sets TCP_USER_TIMEOUT, which limits how long sent data may stay
@@ -299,6 +335,16 @@
 	c.idle[pooled.address] = append(c.idle[pooled.address], pooled)
 }
 
+// CloseIdle closes the idle connections to an address.
+func (c *Client) CloseIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pooled := range c.idle[address] {
+		_ = pooled.Close()
+	}
+	delete(c.idle, address)
+}
+
 // CloseUnused closes idle connections that have expired or whose address is not one of
 // addresses.
 func (c *Client) CloseUnused(now time.Time, addresses map[string]bool) {
