Send nothing to endpoints that leave or ask for a pause

Cause: an endpoint that leaves says so in its responses, and one that refuses with 503 and Retry-After names a time; neither was read, so entries that had not heard through control went on sending. An incarnation that has announced its departure gets no further request from this entry, whatever a later report says, and its idle connections are closed. A hold keeps every use away: first sends, retries, resumed streams, probes and copies; the ejection's fallback too. If all endpoints are held the caller is refused at once with the time until the first is free. Ruled out: telling the other entries through the exchange; each entry learns from its first answer, and the directory tells the rest. Not measured.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -96,14 +96,16 @@
 	Tried        int
 	Draining     int
 	Ejected      int
+	Held         int           // asked for no requests for a time
 	Full         int           // at the limit of requests from this entry, or of prompt tokens in flight
 	TooLate      int           // prefill would start too late for the request to meet its target
 	ShortestWait time.Duration // shortest expected wait among the endpoints that are too late
+	HeldFor      time.Duration // until the first endpoint that asked for no requests takes some
 }
 
 func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d draining, %d ejected, %d full, %d too late (soonest in %d ms)",
-		e.Service, e.Known, e.Tried, e.Draining, e.Ejected, e.Full, e.TooLate, e.ShortestWait.Milliseconds())
+	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d draining, %d ejected, %d held, %d full, %d too late (soonest in %d ms)",
+		e.Service, e.Known, e.Tried, e.Draining, e.Ejected, e.Held, e.Full, e.TooLate, e.ShortestWait.Milliseconds())
 }
 
 // ReportedLoad is the load that an endpoint reports with an answer.
@@ -152,7 +154,9 @@
 	cachedParts         *partCache
 	cacheResidence      time.Duration // how long an unused cached part stays, estimated when peerLoad was set
 	ejection            ejection
-	maxRequests         int // limit of own requests, 0 for none
+	leaving             bool      // it has announced its departure in a response
+	heldUntil           time.Time // it has asked for no requests before this time
+	maxRequests         int       // limit of own requests, 0 for none
 }
 
 // Table is what an entry knows about the endpoints of all services. Maps from
@@ -233,17 +237,19 @@
 func (e *endpoint) key() EndpointKey { return EndpointKey(e.idHash) }
 
 func (e *endpoint) acceptsRequests() bool {
-	return e.State != directory.Draining && e.State != directory.Gone
+	return e.State != directory.Draining && e.State != directory.Gone && !e.leaving
 }
 
 // HasEndpoints reports whether the service has any endpoint.
 func (t *Table) HasEndpoints(service string) bool { return len(t.services[service]) > 0 }
 
-// Addresses returns the set of addresses of all endpoints.
+// Addresses returns the set of addresses of all endpoints that may take requests.
 func (t *Table) Addresses() map[string]bool {
 	all := make(map[string]bool, len(t.endpoints))
 	for _, e := range t.endpoints {
-		all[e.Address] = true
+		if e.acceptsRequests() {
+			all[e.Address] = true
+		}
 	}
 	return all
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -588,3 +589,38 @@
 		g.Expect(runsStreams).NotTo(HaveKey(c.ID))
 	}
 }
+
+// An ejected endpoint may be tried if nothing else is left; one that wants no requests for
+// a time is not, and is no source of copies either.
+func TestHeldEndpointIsNoFallback(t *testing.T) {
+	g := NewWithT(t)
+	table := newReportingFleet("a", 2)
+	table.SetCopyTimePerToken("llm", time.Microsecond)
+	now := epoch
+	var last *Attempt
+	for range 2 {
+		_, last = chooseAndSend(g, table, now, longPrompt(1, 100))
+		table.RecordFirstEvent(now, last, ReportedLoad{})
+		table.RecordHold(now, last, time.Second)
+		table.RecordEnd(now, last, Failed, ReportedLoad{})
+	}
+	for _, e := range table.services["llm"] {
+		if !e.held(now) {
+			table.remove(e)
+		}
+	}
+	g.Expect(table.services["llm"]).NotTo(BeEmpty())
+	_, err := table.Choose(now.Add(900*time.Millisecond), longPrompt(1, 100))
+	var none *NoEndpointError
+	g.Expect(errors.As(err, &none)).To(BeTrue(), "%v", err)
+	g.Expect(none.Held).To(Equal(none.Known))
+	g.Expect(none.HeldFor).To(Equal(100 * time.Millisecond))
+	request := longPrompt(1, 100)
+	g.Expect(table.findCopySource(now.Add(900*time.Millisecond), &request).endpoint).To(BeNil())
+	_, err = table.Choose(now.Add(1001*time.Millisecond), longPrompt(1, 100))
+	g.Expect(err).NotTo(HaveOccurred())
+	// A newer response replaces the time that an older one asked for.
+	table.RecordHold(now, last, time.Minute)
+	table.RecordHold(now, last, 10*time.Millisecond)
+	g.Expect(last.endpoint.held(now.Add(20 * time.Millisecond))).To(BeFalse())
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -77,7 +77,8 @@
 }
 
 // candidates returns the endpoints that may take a request, and counts the others.
-// If only ejected endpoints are left, it returns the one whose ejection ends first.
+// If only ejected endpoints are left, it returns the one whose ejection ends first; an
+// endpoint that asked for no requests gets none in any case.
 func (t *Table) candidates(now time.Time, r *Request) ([]*endpoint, NoEndpointError) {
 	none := NoEndpointError{Service: r.Service}
 	t.scratch = t.scratch[:0]
@@ -85,8 +86,13 @@
 	for _, e := range t.services[r.Service] {
 		none.Known++
 		switch {
-		case e.State == directory.Draining:
+		case !e.acceptsRequests():
 			none.Draining++
+		case e.held(now):
+			if left := e.heldUntil.Sub(now); none.Held == 0 || left < none.HeldFor {
+				none.HeldFor = left
+			}
+			none.Held++
 		case r.tried(e.ID):
 			none.Tried++
 		case e.maxRequests > 0 && e.running+e.waiting >= e.maxRequests:
--- a/internal/balance/copy.go
+++ b/internal/balance/copy.go
@@ -84,10 +84,10 @@
 	return s
 }
 
-// canServeCopies excludes endpoints that fail or drain, because a request that
+// canServeCopies excludes endpoints that fail, drain or want no requests, because a request that
 // copies waits for its source.
 func (e *endpoint) canServeCopies(now time.Time, r *Request) bool {
-	return e.acceptsRequests() && e.ejection.healthy(now) && !r.tried(e.ID)
+	return e.acceptsRequests() && !e.held(now) && e.ejection.healthy(now) && !r.tried(e.ID)
 }
 
 // addedTokens returns how many leading tokens a copy adds to those that an endpoint
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -33,7 +33,9 @@
 	// defaultRetryAfter is the least Retry-After, and the one sent without an estimate
 	// of when an endpoint has capacity.
 	defaultRetryAfter = 300 * time.Millisecond
-	// maxRetryAfter limits Retry-After before jitter is added.
+	maxHoldJitter     = 500 * time.Millisecond
+	// maxRetryAfter limits Retry-After before jitter is added, unless all endpoints want no
+	// requests for longer.
 	maxRetryAfter = time.Second
 	// A repeatable request waits for the start of a response for
 	// firstResponseTimeoutFactor times its latency target or the expected wait,
@@ -161,7 +163,11 @@
 	if errors.As(err, &noEndpoint) && noEndpoint.Known == 0 {
 		return min(time.Until(a.request.Deadline)/discoveryWaitDivisor, maxDiscoveryWait)
 	}
-	return a.request.Route.LatencyTarget / endpointWaitDivisor
+	limit := a.request.Route.LatencyTarget / endpointWaitDivisor
+	if noEndpoint != nil && noEndpoint.HeldFor > limit {
+		return 0 // no endpoint will be available in time
+	}
+	return limit
 }
 
 // sendAttempt makes one attempt. It returns retry.Answered only if the response to
@@ -178,6 +184,7 @@
 	defer x.Close()
 	metadata := a.options.Dialect.DecodeResponse(x.Response)
 	a.reportedLoad = metadata.Load
+	a.applyNotices(x, metadata)
 	if metadata.NotRun {
 		a.attempts.Refusals++
 		a.recordEnd(balance.NotRun)
@@ -199,6 +206,34 @@
 	return a.forwardBuffered(ctx, x)
 }
 
+// applyNotices applies what a response says of its endpoint: that it leaves, or wants no
+// requests for a time.
+func (a *activeRequest) applyNotices(x *upstream.Exchange, metadata ResponseMetadata) {
+	if metadata.Leaving {
+		x.CloseConnectionAfterResponse()
+		a.client.CloseIdle(a.choice.Address)
+	}
+	if !metadata.Leaving && metadata.Hold <= 0 {
+		return
+	}
+	hold := holdWithJitter(metadata.Hold, rand.Float64())
+	a.mu.Lock()
+	if metadata.Leaving {
+		a.table.RecordLeaving(a.attempt)
+	}
+	a.table.RecordHold(time.Now(), a.attempt, hold)
+	a.mu.Unlock()
+	a.options.Logger.Info("endpoint wants no requests", "endpoint", a.choice.ID, "leaving", metadata.Leaving, "hold_ms", hold.Milliseconds(), "request", a.request.ID)
+}
+
+// holdWithJitter returns a time for which an endpoint wants no requests, at most
+// balance.MaxHold, and up to a quarter more within a limit, so that the entry hosts don't return to it together. jitterFraction is at
+// least 0 and below 1.
+func holdWithJitter(hold time.Duration, jitterFraction float64) time.Duration {
+	hold = min(hold, balance.MaxHold)
+	return hold + time.Duration(jitterFraction*float64(min(hold/4, maxHoldJitter)))
+}
+
 // endpointStatusError is a response whose status says that the request was not served.
 type endpointStatusError struct {
 	Status int
@@ -350,17 +385,21 @@
 	case a.attempts.Runs > 0:
 		return &RequestError{Reason: OutcomeUnknown, Detail: detail}
 	case errors.As(cause, &noEndpoint):
-		return &RequestError{Reason: NoEndpoint, Detail: detail, RetryAfter: retryAfterWithJitter(noEndpoint.ShortestWait, rand.Float64())}
+		return &RequestError{Reason: NoEndpoint, Detail: detail, RetryAfter: retryAfterWithJitter(noEndpoint, rand.Float64())}
 	}
 	return &RequestError{Reason: NoEndpoint, Detail: detail, RetryAfter: defaultRetryAfter}
 }
 
 // retryAfterWithJitter returns the Retry-After of a refused request: half of the shortest
-// expected wait, within limits, by when about half of the queued work is done, plus jitter
-// so that callers refused together don't retry together. jitterFraction is at least 0 and
-// below 1.
-func retryAfterWithJitter(shortestWait time.Duration, jitterFraction float64) time.Duration {
-	base := min(max(shortestWait/2, defaultRetryAfter), maxRetryAfter)
+// expected wait, within limits, by when about half of the queued work is done. If no
+// endpoint takes requests before a time that it asked for, it is that time. Jitter is
+// added so that callers refused together don't retry together. jitterFraction is at least 0
+// and below 1.
+func retryAfterWithJitter(err *balance.NoEndpointError, jitterFraction float64) time.Duration {
+	base := min(max(err.ShortestWait/2, defaultRetryAfter), maxRetryAfter)
+	if err.Held > 0 && err.TooLate+err.Full == 0 {
+		base = max(base, err.HeldFor)
+	}
 	return base + time.Duration(jitterFraction*float64(base))
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -41,9 +41,11 @@
 
 // ResponseMetadata is decoded from the status and header of an endpoint's response.
 type ResponseMetadata struct {
-	RequestID    string // of the request that was answered
-	HasSignature bool   // the signature header is present; the signature is not verified here
-	NotRun       bool   // the endpoint states that it did not run the request
+	RequestID    string        // of the request that was answered
+	HasSignature bool          // the signature header is present; the signature is not verified here
+	NotRun       bool          // the endpoint states that it did not run the request
+	Leaving      bool          // the endpoint states that it leaves
+	Hold         time.Duration // how long the endpoint wants no requests, 0 if it does not say
 	Load         balance.ReportedLoad
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -39,14 +39,17 @@
 }
 
 func (testDialect) DecodeResponse(response *http.Response) ResponseMetadata {
-	return ResponseMetadata{RequestID: response.Header.Get("Id"), HasSignature: response.Header.Get("Signature") != "", NotRun: response.Header.Get("Not-Run") != ""}
+	hold, _ := time.ParseDuration(response.Header.Get("Hold"))
+	return ResponseMetadata{RequestID: response.Header.Get("Id"), HasSignature: response.Header.Get("Signature") != "", NotRun: response.Header.Get("Not-Run") != "",
+		Leaving: response.Header.Get("Leaving") != "", Hold: hold}
 }
 
 // testFleet is a router with endpoints, and records the requests that they receive.
 type testFleet struct {
 	*Router
-	mu       sync.Mutex
-	received []string // endpoint and last event id of each request
+	addresses []string // of the endpoints
+	mu        sync.Mutex
+	received  []string // endpoint and last event id of each request
 }
 
 type endpointHandler func(w http.ResponseWriter, r *http.Request)
@@ -69,6 +72,7 @@
 			handle(w, r)
 		}))
 		t.Cleanup(server.Close)
+		f.addresses = append(f.addresses, server.Listener.Addr().String())
 		// Each further endpoint has a higher estimated cost, which fixes the order of
 		// the attempts.
 		domain := "a"
@@ -372,10 +376,18 @@
 // again. Retry-After has jitter, and grows with the wait at the endpoints.
 func TestRetryAfterJitter(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(retryAfterWithJitter(0, 0)).To(Equal(defaultRetryAfter))
-	g.Expect(retryAfterWithJitter(0, 0.999)).To(BeNumerically("~", 2*defaultRetryAfter, 5*time.Millisecond))
-	g.Expect(retryAfterWithJitter(1200*time.Millisecond, 0)).To(Equal(600 * time.Millisecond))
-	g.Expect(retryAfterWithJitter(time.Minute, 0)).To(Equal(maxRetryAfter))
+	wait := func(shortest time.Duration) *balance.NoEndpointError {
+		return &balance.NoEndpointError{TooLate: 1, ShortestWait: shortest}
+	}
+	g.Expect(retryAfterWithJitter(wait(0), 0)).To(Equal(defaultRetryAfter))
+	g.Expect(retryAfterWithJitter(wait(0), 0.999)).To(BeNumerically("~", 2*defaultRetryAfter, 5*time.Millisecond))
+	g.Expect(retryAfterWithJitter(wait(1200*time.Millisecond), 0)).To(Equal(600 * time.Millisecond))
+	g.Expect(retryAfterWithJitter(wait(time.Minute), 0)).To(Equal(maxRetryAfter))
+	held := &balance.NoEndpointError{Held: 2, HeldFor: 5 * time.Second}
+	g.Expect(retryAfterWithJitter(held, 0)).To(Equal(5 * time.Second))
+	g.Expect(retryAfterWithJitter(held, 0.5)).To(Equal(7500 * time.Millisecond))
+	held.TooLate = 1 // a third endpoint takes requests, though too late for this one
+	g.Expect(retryAfterWithJitter(held, 0)).To(Equal(defaultRetryAfter))
 }
 
 // Events longer than the read buffer are forwarded unchanged, also if a line ends just
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -109,7 +109,7 @@
 				var noResponse *NoResponseError
 				g.Expect(errors.As(err, &noResponse)).To(Equal(!endless.headComplete), "%v", err)
 			}
-			g.Expect(int64(after.HeapSys)-int64(before.HeapSys)).To(BeNumerically("<", heapAllowance))
+			g.Expect(int64(after.HeapSys) - int64(before.HeapSys)).To(BeNumerically("<", heapAllowance))
 		})
 	}
 }
