Bound the bodies and events of endpoints in memory

Cause: a response was held whole up to 16 MiB and an event up to 1 MiB, so a few endpoints that send without end fill an entry of 112 MiB; comments counted as events, so that a stream of comments only was never left. Change: a body longer than 64 KiB is forwarded as it is read, without another attempt once it has begun; an event may have 128 KiB. Comments before the first event are held back, later ones are passed on; neither restarts the timeout between events. Ruled out: a shared budget of bytes for buffers; the smaller buffer needs none.

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -46,9 +46,11 @@
 	// gap target, and at least for minEventGapTimeout.
 	eventGapTimeoutFactor = 4
 	minEventGapTimeout    = 900 * time.Millisecond
-	// maxBufferedResponseBytes limits a response that is read to its end before it is
-	// written to the caller.
-	maxBufferedResponseBytes = 16 << 20
+	// A response is written to the caller once it is complete or longer than
+	// maxBufferedResponseBytes. It ends with an error once it is longer than
+	// maxResponseBytes.
+	maxBufferedResponseBytes = 64 << 10
+	maxResponseBytes         = 16 << 20
 )
 
 // activeRequest is the state of a request while Serve runs.
@@ -95,6 +97,9 @@
 		if ctx.Err() != nil {
 			return a.finalError(context.Cause(ctx))
 		}
+		if a.writtenStatus != 0 && a.request.Route.Kind != catalog.EventStream {
+			return a.finalError(err) // only streams can be resumed
+		}
 		a.attempts.TimeLeft = time.Until(a.request.Deadline)
 		if a.attempts.Decide(outcome) != retry.TryAnother {
 			return a.finalError(err)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -54,17 +54,18 @@
 	a.writer.WriteHeader(response.StatusCode)
 }
 
-// forwardBuffered writes a response to the caller once it has been read to its end.
+// forwardBuffered writes a response to the caller once it has been read to its end. A
+// longer one is written as it is read.
 func (a *activeRequest) forwardBuffered(ctx context.Context, x *upstream.Exchange) (retry.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedResponseBytes+1))
-	if err == nil && len(body) > maxBufferedResponseBytes {
-		err = &upstream.ProtocolError{Reason: "the answer is too long"}
-	}
 	if err != nil {
 		a.recordFailure(ctx)
 		return retry.Unknown, errors.Wrap(err, "read response")
 	}
 	a.recordResponse()
+	if len(body) > maxBufferedResponseBytes {
+		return a.forwardLong(ctx, x, body)
+	}
 	if x.Response.StatusCode >= http.StatusInternalServerError {
 		a.recordEnd(balance.ErrorResponse)
 		a.attempts.TimeLeft = time.Until(a.request.Deadline)
@@ -78,6 +79,28 @@
 	return retry.Answered, nil
 }
 
+// forwardLong writes a response to the caller of which only the beginning has been read.
+func (a *activeRequest) forwardLong(ctx context.Context, x *upstream.Exchange, beginning []byte) (retry.Outcome, error) {
+	a.writeHeader(x.Response, int(x.Response.ContentLength))
+	// A write fails if the caller has disconnected; its context reports that.
+	_, _ = a.writer.Write(beginning)
+	rest := int64(maxResponseBytes - len(beginning))
+	n, err := io.Copy(a.writer, io.LimitReader(x, rest+1))
+	if err == nil && n > rest {
+		err = &upstream.ProtocolError{Reason: "the answer is too long"}
+	}
+	if err != nil {
+		a.recordFailure(ctx)
+		return retry.Unknown, errors.Wrap(err, "forward long response")
+	}
+	if isSuccess(x.Response.StatusCode) {
+		a.recordEnd(balance.Succeeded)
+	} else {
+		a.recordEnd(balance.ErrorResponse)
+	}
+	return retry.Answered, nil
+}
+
 // retryErrorResponse makes another attempt after an endpoint returned an error
 // response. If that attempt brings no response, the error response is written.
 func (a *activeRequest) retryErrorResponse(ctx context.Context, x *upstream.Exchange, body []byte) (retry.Outcome, error) {
@@ -104,10 +127,12 @@
 	flusher := http.NewResponseController(a.writer)
 	reader := bufio.NewReaderSize(x, eventBufferBytes)
 	var event []byte
-	midLine := false // the previous read filled the buffer before the end of a line
+	midLine := false   // the previous read filled the buffer before the end of a line
+	hasFields := false // the event has more than comments and blank lines
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
+		hasFields = hasFields || !midLine && isField(line)
 		if len(event) > maxEventBytes {
 			err = &upstream.ProtocolError{Reason: "an event is too long"}
 		}
@@ -120,15 +145,17 @@
 		}
 		blank := !midLine && len(bytes.TrimRight(line, "\r\n")) == 0
 		midLine = false
-		if !blank {
-			continue
+		if !blank || !hasFields && a.writtenStatus == 0 {
+			continue // comments before the first event are held back: another attempt may follow
 		}
-		if err := a.forwardEvent(x, event, flusher); err != nil {
+		if err := a.forwardEvent(x, event, flusher, hasFields); err != nil {
 			a.recordEnd(balance.Cancelled)
 			return retry.Unknown, err
 		}
-		timer.Reset(max(eventGapTimeoutFactor*a.request.Route.GapTarget, minEventGapTimeout))
-		event = event[:0]
+		if hasFields {
+			timer.Reset(max(eventGapTimeoutFactor*a.request.Route.GapTarget, minEventGapTimeout))
+		}
+		event, hasFields = event[:0], false
 	}
 }
 
@@ -136,14 +163,22 @@
 	// eventBufferBytes is the read buffer of a stream. Longer events take several reads.
 	eventBufferBytes = 2 << 10
 	// maxEventBytes limits an event, which is held in memory until it is complete.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 128 << 10
 )
 
-// forwardEvent sends a complete event to the caller. It skips events that the caller
-// received before the stream was resumed.
-func (a *activeRequest) forwardEvent(x *upstream.Exchange, event []byte, flusher *http.ResponseController) error {
-	a.recordResponse()
-	a.recordGap(time.Now())
+// isField reports whether the start of a line of a stream is neither blank nor a comment.
+func isField(line []byte) bool {
+	line = bytes.TrimRight(line, "\r\n")
+	return len(line) > 0 && line[0] != ':'
+}
+
+// forwardEvent sends a complete event, or a comment between events, to the caller. It
+// skips events that the caller received before the stream was resumed.
+func (a *activeRequest) forwardEvent(x *upstream.Exchange, event []byte, flusher *http.ResponseController, hasFields bool) error {
+	if hasFields {
+		a.recordResponse()
+		a.recordGap(time.Now())
+	}
 	if a.writtenStatus == 0 {
 		a.writeHeader(x.Response, -1)
 	}
