Follow every control host, also beyond nine

Cause: five failure domains have ten control hosts; an entry followed nine and missed what endpoints reported to the tenth, such as that they leave. Change: the limit is 32, and a host that is not followed is an error line. Test: ten control hosts, an endpoint leaves through each; fails with nine. Ruled out: a lost control host, a late report, the trial's costs.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -274,6 +274,27 @@
 	g.Eventually(done, "2s").Should(Receive(BeNil()))
 }
 
+// In five failure domains with two control hosts each, an endpoint may report to any of
+// the ten that it leaves. Every entry must learn it.
+func TestReportsToEachOfTenControlHostsReachEntries(t *testing.T) {
+	g := NewWithT(t)
+	const failureDomains, perDomain = 5, 2
+	var hosts []*controlHost
+	for i := range failureDomains * perDomain {
+		hosts = append(hosts, newControlHost(t, fmt.Sprint("domain-", i/perDomain)))
+	}
+	connectPeers(hosts...)
+	follower, consumer := startFollower(t, "e1", hosts[:3]...) // the seeds
+	awaitLiveHosts(g, len(hosts), follower)
+	for i, h := range hosts {
+		id := fmt.Sprint("e", i)
+		h.UpdateEndpoint(endpoint(id, 1, directory.Ready))
+		g.Eventually(consumer.state(id), "3s", "10ms").Should(Equal(directory.Ready), "host %d", i)
+		h.UpdateEndpoint(endpoint(id, 2, directory.Draining))
+		g.Eventually(consumer.state(id), "3s", "10ms").Should(Equal(directory.Draining), "host %d", i)
+	}
+}
+
 // Control hosts that were replaced must not use up MaxControlHosts: an entry that
 // followed many closed ones must still follow those that are listed now.
 func TestReplacedControlHostsAreForgotten(t *testing.T) {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -25,8 +25,10 @@
 	// hostForgetDelay is how long the follower retries a lost host that no control host
 	// lists. It is longer than a restart or the formation of the cluster takes.
 	hostForgetDelay = 6 * time.Second
-	// MaxControlHosts limits the control hosts that an entry follows.
-	MaxControlHosts = 9
+	// MaxControlHosts limits the control hosts that an entry follows. An entry misses what
+	// endpoints report to a host that it does not follow, so the limit exceeds the hosts of
+	// any deployment: two in each failure domain.
+	MaxControlHosts = 32
 )
 
 // Consumer receives the updates of a Follower. UpdateEndpoints and SetEntryCount are
@@ -130,7 +132,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, url := range urls {
-		if url == "" || f.hosts[url] != nil || len(f.hosts) >= MaxControlHosts {
+		if url == "" || f.hosts[url] != nil {
+			continue
+		}
+		if len(f.hosts) >= MaxControlHosts {
+			f.options.Logger.Error("control host not followed, its reports will be missed", "url", url, "followed", len(f.hosts))
 			continue
 		}
 		hostCtx, cancel := context.WithCancel(ctx)
