Keep long prompts from the streams whose pauses they would break

Notes with a gap target of 200 ms counted as urgent beside commentaries with 120 ms, a reserved engine was given 22 streams for 16 slots, and of 43 of 1,096 commentaries whose engine read a prompt of over 8,000 tokens meanwhile paused too long two in three did, of the others one in twenty. The busiest engine got 3.8 times the mean. Change: urgent is relative to the shortest gap target of the service; reserved engines follow from slots, up to half of a domain; a prompt pays for the streams whose gap target its prefill would break, by the engine's tokens an event; the fixed time of a first event is learned and no longer counts as load; costs differ a little by request, so that entries don't choose the same engine from old reports; a refused connection ejects an endpoint at once and is followed by up to eight attempts.

--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -19,7 +19,7 @@
 }
 
 // exceedsAdmissionWait reports whether the prefill of a request would start too
-// late at the chosen endpoint. The request's own prefill time does not count, so
+// late at the chosen endpoint. The request's own prefill time and overhead do not count, so
 // that long prompts are not declined for their length.
 func (t *Table) exceedsAdmissionWait(r *Request, c Choice) bool {
 	leastUrgent := t.leastUrgentRanks[r.Service]
@@ -30,7 +30,7 @@
 	for rank := r.RouteRank; rank < leastUrgent; rank++ {
 		fraction *= waitFactorPerRank
 	}
-	wait := c.ExpectedWait - prefillTime(c.PrefillTokens)
+	wait := c.ExpectedWait - c.Overhead - prefillTime(c.PrefillTokens)
 	return float64(wait) > fraction*float64(r.LatencyTarget)
 }
 
--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -15,6 +15,7 @@
 	ErrorResponse        // a complete answer that reports an error of the endpoint
 	NotRun               // the endpoint answered that it did not run the request
 	Cancelled            // ended by this entry or the caller; says nothing about the endpoint
+	Unreachable          // the endpoint's host refused the connection: no process listens
 )
 
 // InFlightLoad is the load that one or more entries have put on an endpoint.
@@ -36,6 +37,7 @@
 	request       Request
 	prefillTokens int
 	expectedWait  time.Duration
+	overhead      time.Duration // part of expectedWait
 	sentAt        time.Time
 	started       bool
 	ended         bool
@@ -48,6 +50,7 @@
 	if e == nil {
 		return nil
 	}
+	r.urgent = t.isUrgent(&r)
 	e.waiting++
 	e.prefillTokens += c.PrefillTokens
 	e.urgentRequests += r.urgentCount()
@@ -56,7 +59,7 @@
 	e.recentPrefill.add(now, max(c.PrefillTokens-prefillChunkTokens, 0))
 	e.cachedParts.recordUse(now, r.Parts)
 	e.ejection.sent(now)
-	return &Attempt{endpoint: e, request: r, prefillTokens: c.PrefillTokens, expectedWait: c.ExpectedWait, sentAt: now}
+	return &Attempt{endpoint: e, request: r, prefillTokens: c.PrefillTokens, expectedWait: c.ExpectedWait, overhead: c.Overhead, sentAt: now}
 }
 
 // RecordFirstEvent records the first event of an attempt, or its complete answer if it
@@ -84,10 +87,15 @@
 func (t *Table) updateEstimates(now time.Time, a *Attempt, took time.Duration) {
 	e := a.endpoint
 	if a.request.PromptTokens > 0 {
-		t.updateWaitFactor(now, e, took, a.expectedWait)
+		t.model(e.Service).recordOverhead(took - (a.expectedWait - a.overhead))
+	}
+	// What is left after the overhead depends on the load.
+	took, expected := max(took-a.overhead, 0), a.expectedWait-a.overhead
+	if a.request.PromptTokens > 0 {
+		t.updateWaitFactor(now, e, took, expected)
 	}
 	current := e.currentSlowdown(now)
-	ratio := float64(took) / float64(max(a.expectedWait, minLearnedWait)) * current
+	ratio := float64(took) / float64(max(expected, minLearnedWait)) * current
 	ratio = max(min(ratio, current*maxSlowdownIncrease, maxSlowdown), minSlowdown)
 	e.slowdown, e.slowdownAt = current+slowdownWeight*(ratio-current), now
 }
@@ -143,6 +151,9 @@
 	case Failed:
 		e.errorRate.add(now, 1)
 		e.ejection.failed(now, t.mayEject(now, e))
+	case Unreachable:
+		e.errorRate.add(now, 1)
+		e.ejection.unreachable(now, t.mayEject(now, e))
 	case NotRun:
 		e.ejection.busy(now)
 	case Cancelled:
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,6 +32,8 @@
 	LatencyTarget        time.Duration // for the first event, or for the whole answer without a stream
 	GapTarget            time.Duration // target for the longest pause between events; 0 without a stream
 	TriedEndpoints       []string      // IDs of endpoints that earlier attempts were sent to
+
+	urgent bool // set by the Table, see isUrgent
 }
 
 // Config describes the entry and the costs of its choices, in time. Costs that
@@ -121,6 +123,7 @@
 	Preferred         bool          // the endpoint that entries agree on for the prompt; see preferredEndpoint
 	Cost              time.Duration // estimated cost, by which the candidates were compared
 	ExpectedWait      time.Duration // expected time to the first event or the answer
+	Overhead          time.Duration // part of ExpectedWait that does not depend on the load
 	PrefillTokens     int           // prompt tokens expected to be prefilled
 	CopySourceAddress string        // address of the endpoint to copy cached parts from, "" for none
 	CopiedTokens      int           // cached tokens copied from there
@@ -174,6 +177,8 @@
 	waitFactors           map[string]*waitFactor
 	cacheCapacityTokens   map[string]int // of one engine, 0 if not known
 	leastUrgentRanks      map[string]int
+	engineModels          map[string]*engineModel
+	shortestGapTargets    map[string]time.Duration // among the routes of the service, 0 if none is a stream
 	copyTimesPerToken     map[string]time.Duration // between engines, 0 if they cannot copy
 	unsentPlacements      []PartPlacement          // to be reported to other entries
 }
@@ -181,7 +186,7 @@
 // New returns an empty table.
 func New(config Config) *Table {
 	return &Table{config: config.withDefaults(), endpoints: map[string]*endpoint{}, byKey: map[EndpointKey]*endpoint{}, services: map[string][]*endpoint{}, knownLoadDomains: map[string]bool{}, lastUrgentAt: map[string]time.Time{},
-		reservedTargets: map[string]*reservedTarget{}, waitFactors: map[string]*waitFactor{}, leastUrgentRanks: map[string]int{}, cacheCapacityTokens: map[string]int{}, copyTimesPerToken: map[string]time.Duration{}}
+		reservedTargets: map[string]*reservedTarget{}, waitFactors: map[string]*waitFactor{}, leastUrgentRanks: map[string]int{}, engineModels: map[string]*engineModel{}, shortestGapTargets: map[string]time.Duration{}, cacheCapacityTokens: map[string]int{}, copyTimesPerToken: map[string]time.Duration{}}
 }
 
 // Update applies a change of the directory. maxRequests limits this entry's requests
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -10,6 +10,7 @@
 // Choose returns the endpoint for a request, or a *NoEndpointError. The caller
 // must call RecordSent if it sends the request there.
 func (t *Table) Choose(now time.Time, r Request) (Choice, error) {
+	r.urgent = t.isUrgent(&r)
 	candidates, none := t.candidates(now, &r)
 	if len(candidates) == 0 {
 		return Choice{}, &none
@@ -53,6 +54,9 @@
 	meanErrorRate     float64 // of the endpoints of the service
 	meanSlowdown      float64 // of the endpoints of the service
 	waitFactor        float64
+	overhead          time.Duration
+	spread            time.Duration // costs within this of each other count as equal
+	spreadSeed        uint64        // differs between requests
 	serviceEndpoints  []*endpoint
 	meanDemand        *[2]demand // of the own failure domain, indexed by demandIndex; nil until it is needed
 	sharedTokens      int
@@ -63,6 +67,11 @@
 	in := choiceInputs{now: now, request: r, waitFactor: 1, reservationActive: t.reservationActive(now, r.Service), sharedTokens: sharedTokens(r.Parts), serviceEndpoints: t.services[r.Service]}
 	if r.PromptTokens > 0 {
 		in.waitFactor = t.currentWaitFactor(now, r.Service)
+		in.overhead = t.model(r.Service).overhead()
+	}
+	if len(r.Parts) > 0 {
+		in.spreadSeed = r.Parts[len(r.Parts)-1].ID
+		in.spread = minSpread + time.Duration(spreadPerPrefillTime*float64(prefillTime(r.Parts[len(r.Parts)-1].Tokens)))
 	}
 	for _, e := range in.serviceEndpoints {
 		in.meanErrorRate += e.errorRate.at(now) / float64(len(in.serviceEndpoints))
@@ -174,6 +183,22 @@
 	return x ^ x>>mixShift
 }
 
+// Entries know of each other's choices only after a while, and would all choose the same
+// endpoint until then. Each request therefore adds a cost of its own to each endpoint, up
+// to minSpread and spreadPerPrefillTime of the time to prefill its own tokens.
+const (
+	minSpread            = 10 * time.Millisecond
+	spreadPerPrefillTime = 1.0
+)
+
+// unitHash maps a hash to [0, 1).
+func unitHash(x uint64) float64 {
+	return float64(mixBits(x)>>unitHashShift) / (1 << (64 - unitHashShift))
+}
+
+// unitHashShift leaves as many bits as a float64 holds exactly.
+const unitHashShift = 11
+
 // estimate returns the expected wait, the prompt tokens to be prefilled or copied, and
 // the cost of a request at an endpoint.
 func (t *Table) estimate(e *endpoint, in *choiceInputs) Choice {
@@ -192,12 +217,14 @@
 	c.PrefillTokens = max(r.PromptTokens-cached, 0)
 	slowdown, load := e.currentSlowdown(now), e.estimatedDemand(in)
 	wait := time.Duration(float64(e.expectedWait(r, load, c.PrefillTokens))*slowdown) + in.source.copyTime(c.CopiedTokens)
-	c.ExpectedWait = time.Duration(float64(wait) * in.waitFactor)
+	c.Overhead = in.overhead
+	c.ExpectedWait = c.Overhead + time.Duration(float64(wait)*in.waitFactor)
 	c.Cost = waitCost(wait, r.LatencyTarget) + t.copyCost(e, c.CopiedTokens)
 	if e != in.preferred {
 		c.Cost += t.repeatedPrefillCost(r, max(in.sharedTokens-cached, 0))
 	}
-	c.Cost += e.interferenceCost(now, r, load, c.PrefillTokens) + e.degradationCost(in, slowdown)
+	c.Cost += t.interferenceCost(now, e, r, load, c.PrefillTokens) + e.degradationCost(in, slowdown)
+	c.Cost += time.Duration(unitHash(in.spreadSeed^e.idHash) * float64(in.spread))
 	if in.reservationActive && r.PromptTokens > 0 {
 		c.Cost += e.isolationCost(r, c.PrefillTokens)
 	}
--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -60,6 +60,18 @@
 	if !probe && (j.failures < failuresToEject || !mayEject) {
 		return
 	}
+	j.eject(now)
+}
+
+// unreachable records that no process accepts connections. Unlike another failure, a
+// single one ejects the endpoint.
+func (j *ejection) unreachable(now time.Time, mayEject bool) {
+	j.failures = max(j.failures, failuresToEject-1)
+	j.failed(now, mayEject)
+}
+
+// eject keeps requests away, for longer with each consecutive ejection.
+func (j *ejection) eject(now time.Time) {
 	j.ejected = true
 	j.until = now.Add(min(baseEjectionTime<<min(j.ejections, maxEjectionDoublings), maxEjectionTime))
 	j.ejections++
--- a/internal/balance/interference.go
+++ b/internal/balance/interference.go
@@ -6,8 +6,10 @@
 // every step longer, and prefill of a prompt lengthens the pauses of the streams
 // that run on the same engine.
 const (
-	// urgentGapTarget is the gap target up to which a stream counts as urgent.
+	// A stream counts as urgent if its gap target is at most urgentGapTarget, and at most
+	// urgentGapRatio times the shortest one of its service.
 	urgentGapTarget = 200 * time.Millisecond
+	urgentGapRatio  = 1.25
 	// unitCostGapTarget is the gap target of a stream at which each other request of
 	// the engine costs it 1 ms. The cost is inversely proportional to the target.
 	unitCostGapTarget = 250 * time.Millisecond
@@ -15,7 +17,7 @@
 	// each urgent stream of the engine.
 	prefillInterferenceFactor = 1.0
 	// excessStreamCost is the cost for an urgent stream of each request beyond
-	// streamsPerReservedEndpoint. From there on any prefill on the engine makes it
+	// streamsIfReserved. From there on any prefill on the engine makes it
 	// pause too long.
 	excessStreamCost = 10 * time.Millisecond
 	// urgentPrefillCostDivisor reduces the cost of prefilling shared parts again for
@@ -41,25 +43,42 @@
 // urgentCount returns 1 for an urgent stream, which is disturbed by prefill on its
 // engine, and 0 for other requests.
 func (r *Request) urgentCount() int {
-	if r.GapTarget > 0 && r.GapTarget <= urgentGapTarget {
+	if r.urgent {
 		return 1
 	}
 	return 0
 }
 
+// isUrgent reports whether a request is a stream that is kept apart from long prompts:
+// its gap target is short, also in comparison with other streams of the service.
+func (t *Table) isUrgent(r *Request) bool {
+	limit := urgentGapTarget
+	if shortest := t.shortestGapTargets[r.Service]; shortest > 0 {
+		limit = min(limit, time.Duration(urgentGapRatio*float64(shortest)))
+	}
+	return r.GapTarget > 0 && r.GapTarget <= limit
+}
+
+// SetShortestGapTarget sets the shortest gap target among the routes of a service, 0 if
+// none is a stream.
+func (t *Table) SetShortestGapTarget(service string, target time.Duration) {
+	t.shortestGapTargets[service] = target
+}
+
 // interferenceCost returns what a request loses to the other requests of an
 // endpoint, and what they lose to it, besides its wait.
-func (e *endpoint) interferenceCost(now time.Time, r *Request, d demand, prefillTokens int) time.Duration {
+func (t *Table) interferenceCost(now time.Time, e *endpoint, r *Request, d demand, prefillTokens int) time.Duration {
 	if r.PromptTokens == 0 || r.GapTarget <= 0 {
 		return 0
 	}
 	cost := time.Duration(float64(d.running+d.waiting) * float64(unitCostGapTarget) / float64(r.GapTarget) * float64(time.Millisecond))
 	if r.urgentCount() > 0 {
-		cost += time.Duration(max(d.running+d.waiting-streamsPerReservedEndpoint, 0)) * excessStreamCost
+		cost += time.Duration(max(d.running+d.waiting-e.streamsIfReserved(), 0)) * excessStreamCost
 		return cost + time.Duration(recentPrefillFactor*float64(prefillTime(e.recentPrefill.at(now)+e.peerLoad.RecentPrefillTokens)))
 	}
-	urgentStreams := e.urgentRequests + e.peerLoad.UrgentRequests
-	return cost + time.Duration(prefillInterferenceFactor*float64(urgentStreams)*float64(prefillTime(prefillTokens)))
+	urgentStreams := float64(e.urgentRequests + e.peerLoad.UrgentRequests)
+	perStream := time.Duration(prefillInterferenceFactor*float64(prefillTime(prefillTokens))) + t.missedGapCost(r.Service, d, prefillTokens)
+	return cost + time.Duration(urgentStreams*float64(perStream))
 }
 
 // prefillTime returns how long an engine takes to prefill tokens.
--- a/internal/balance/reserved.go
+++ b/internal/balance/reserved.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,10 +15,10 @@
 	// reserved where the number of its urgent streams is not known.
 	defaultReservedDivisor = 4
 	// maxReservedDivisor makes at most one in so many endpoints reserved.
-	maxReservedDivisor = 3
-	// streamsPerReservedEndpoint is how many urgent streams a reserved endpoint runs
-	// within their gap target.
-	streamsPerReservedEndpoint = 22
+	maxReservedDivisor = 2
+	// reservedSlotFraction is the fraction of its slots in which a reserved endpoint runs
+	// urgent streams. The rest is for bursts of them.
+	reservedSlotFraction = 0.35
 	// minEndpointsToReserve is how many endpoints a failure domain must have for one
 	// to be reserved.
 	minEndpointsToReserve = 3
@@ -78,9 +79,9 @@
 // adjustReserved updates the number of reserved endpoints from the urgent streams
 // of all entries that report. It spreads the streams over their failure domains.
 func (t *Table) adjustReserved(now time.Time, domainsChanged bool) {
-	// Each increment of the count reserves one more endpoint in every domain.
-	streamsPerCount := streamsPerReservedEndpoint * max(len(t.knownLoadDomains), 1)
 	for service, endpoints := range t.services {
+		// Each increment of the count reserves one more endpoint in every domain.
+		streamsPerCount := meanStreamsIfReserved(endpoints) * max(len(t.knownLoadDomains), 1)
 		streams := 0
 		for _, e := range endpoints {
 			streams += e.urgentRequests + e.peerLoad.UrgentRequests
@@ -90,7 +91,7 @@
 		}
 		target := t.reservedTargets[service]
 		if target == nil {
-			target = &reservedTarget{}
+			target = &reservedTarget{count: endpointsPerDomain(endpoints) / defaultReservedDivisor}
 			t.reservedTargets[service] = target
 		}
 		if target.update(now, (streams+streamsPerCount-1)/streamsPerCount) || domainsChanged {
@@ -99,6 +100,30 @@
 	}
 }
 
+// endpointsPerDomain returns the mean number of endpoints in a failure domain.
+func endpointsPerDomain(endpoints []*endpoint) int {
+	domains := map[string]bool{}
+	for _, e := range endpoints {
+		domains[e.FailureDomain] = true
+	}
+	return len(endpoints) / max(len(domains), 1)
+}
+
+// streamsIfReserved returns how many urgent streams the endpoint runs within their gap
+// target if it is reserved.
+func (e *endpoint) streamsIfReserved() int {
+	return max(int(reservedSlotFraction*float64(cmp.Or(e.Slots, defaultSlots))), 1)
+}
+
+// meanStreamsIfReserved returns the mean of streamsIfReserved, at least 1.
+func meanStreamsIfReserved(endpoints []*endpoint) int {
+	total := 0
+	for _, e := range endpoints {
+		total += e.streamsIfReserved()
+	}
+	return max(total/max(len(endpoints), 1), 1)
+}
+
 // update sets the count for the number of endpoints needed now and reports whether
 // it changed. The count rises at once and falls by one after reservedReleaseDelay.
 func (r *reservedTarget) update(now time.Time, needed int) bool {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -61,6 +61,25 @@
 	// CopyTimePerToken is the time in which an engine copies one cached token from another
 	// engine. 0 means that it can't copy.
 	CopyTimePerToken time.Duration
+	TokensPerEvent   int // tokens in an event of a stream, 0 if not known
+}
+
+// ShortestGapTarget returns the shortest gap target among the routes to a service, 0 if
+// none has one.
+func (d *Document) ShortestGapTarget(service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range d.Routes {
+		target := d.Routes[i].GapTarget
+		if target <= 0 || shortest > 0 && target >= shortest {
+			continue
+		}
+		for _, b := range d.Routes[i].Backends {
+			if b.Service == service && b.Weight > 0 {
+				shortest = target
+			}
+		}
+	}
+	return shortest
 }
 
 // Workspace is a customer with its API keys. A nil Rank leaves the urgency to the
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,7 +89,7 @@
 	}
 	entryCount := e.entryCount
 	e.mu.Unlock()
-	e.router.Configure(d.Services, entryCount)
+	e.router.Configure(d, entryCount)
 	e.options.Metrics.SetGauge(metrics.Revision, int64(version))
 	e.options.Logger.Info("configuration in force", "version", version, "routes", len(d.Routes), "services", len(d.Services), "workspaces", len(d.Workspaces))
 }
@@ -110,7 +110,7 @@
 	e.entryCount = count
 	e.mu.Unlock()
 	if index := e.index.Load(); index != nil {
-		e.router.Configure(index.Document.Services, count)
+		e.router.Configure(index.Document, count)
 	}
 }
 
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
@@ -331,6 +332,11 @@
 // handleSendError returns the outcome of an attempt without a response: not sent, or
 // unknown because the endpoint may have run the request.
 func (a *activeRequest) handleSendError(ctx context.Context, err error) (retry.Outcome, error) {
+	if errors.Is(err, unix.ECONNREFUSED) {
+		a.recordEnd(balance.Unreachable)
+		a.attempts.Unreachable++
+		return retry.NotSent, err
+	}
 	a.recordFailure(ctx)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -129,13 +129,14 @@
 // endpoint without an entry host.
 const entryConnectionFraction = 0.85
 
-// Configure applies the configured services and the number of entry hosts that
-// share the retry budget and the endpoints' connection limits.
-func (rt *Router) Configure(services []catalog.Service, entries int) {
+// Configure applies a configuration and the number of entry hosts that share the retry
+// budget and the endpoints' connection limits.
+func (rt *Router) Configure(document *catalog.Document, entries int) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	rt.options.RetryBudget.SetEntries(entries)
-	for _, s := range services {
+	for _, s := range document.Services {
+		rt.table.SetShortestGapTarget(s.Name, document.ShortestGapTarget(s.Name))
 		limit := 0
 		if s.MaxConnectionsPerEndpoint > 0 {
 			limit = max(int(entryConnectionFraction*float64(s.MaxConnectionsPerEndpoint))/max(entries, 1), 1)
@@ -145,6 +146,7 @@
 		if s.Engine != nil {
 			rt.table.SetCacheCapacity(s.Name, s.Engine.CacheCapacityTokens)
 			rt.table.SetCopyTimePerToken(s.Name, s.Engine.CopyTimePerToken)
+			rt.table.SetTokensPerEvent(s.Name, s.Engine.TokensPerEvent)
 		}
 	}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -48,6 +48,7 @@
 type testFleet struct {
 	*Router
 	addresses []string // of the endpoints
+	servers   []*httptest.Server
 	mu        sync.Mutex
 	received  []string // endpoint and last event id of each request
 }
@@ -72,7 +73,7 @@
 			handle(w, r)
 		}))
 		t.Cleanup(server.Close)
-		f.addresses = append(f.addresses, server.Listener.Addr().String())
+		f.addresses, f.servers = append(f.addresses, server.Listener.Addr().String()), append(f.servers, server)
 		// Each further endpoint has a higher estimated cost, which fixes the order of
 		// the attempts.
 		domain := "a"
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -126,3 +126,19 @@
 	g.Expect(holdWithJitter(time.Second, 0.5)).To(Equal(1125 * time.Millisecond))
 	g.Expect(holdWithJitter(100*balance.MaxHold, 0.5)).To(Equal(balance.MaxHold + maxHoldJitter/2))
 }
+
+// After a crash of many endpoints a request meets several that refuse the connection. It
+// is served by one that is left, and the next request goes there directly.
+func TestRequestPassesCrashedEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody, echoBody)
+	const crashed = 5
+	for _, server := range f.servers[:crashed] {
+		server.Close()
+	}
+	for range 2 {
+		g.Expect(f.serveOnce(catalog.AtMostOnce, false)).To(Equal(200))
+	}
+	g.Expect(f.requests()).To(Equal([]string{"e5 ", "e5 "}))
+	g.Expect(f.ConnectionStats().Dials).To(Equal(int64(1)), "failed dials do not count")
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -21,11 +21,12 @@
 
 // Attempts is the state of a request across its attempts.
 type Attempts struct {
-	Repeatable bool          // the request may run more than once
-	MaxRuns    int           // limit of Runs
-	Runs       int           // endpoints on which it ran or may have run
-	Refusals   int           // attempts that ended with NotSent or NotRun
-	TimeLeft   time.Duration // time left until the deadline
+	Repeatable  bool          // the request may run more than once
+	MaxRuns     int           // limit of Runs
+	Runs        int           // endpoints on which it ran or may have run
+	Refusals    int           // attempts that ended with NotSent or NotRun, without those counted as Unreachable
+	Unreachable int           // attempts that ended with NotSent at once, as the host refused the connection
+	TimeLeft    time.Duration // time left until the deadline
 }
 
 // Action is what to do after an attempt.
@@ -43,6 +44,9 @@
 const (
 	// maxRefusals bounds the attempts that ended with NotSent or NotRun.
 	maxRefusals = 3
+	// maxUnreachable bounds the attempts whose connection was refused. After a crash of
+	// many endpoints several in a row are, each within a round trip.
+	maxUnreachable = 8
 	// minAttemptTime is the least time before the deadline to start a retry.
 	minAttemptTime = 40 * time.Millisecond
 )
@@ -59,7 +63,7 @@
 		if a.Runs > 0 && !a.Repeatable {
 			return ReportMaybeRun
 		}
-		if timeForRetry && a.Refusals < maxRefusals {
+		if timeForRetry && a.Refusals < maxRefusals && a.Unreachable < maxUnreachable {
 			return TryAnother
 		}
 	case Errored, Unknown:
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -24,7 +24,13 @@
 		for range 12 {
 			outcome := rapid.SampledFrom([]Outcome{Answered, NotSent, NotRun, Errored, Unknown}).Draw(t, "outcome")
 			switch outcome {
-			case NotSent, NotRun:
+			case NotSent:
+				if rapid.Bool().Draw(t, "connection refused") {
+					a.Unreachable++
+				} else {
+					a.Refusals++
+				}
+			case NotRun:
 				a.Refusals++
 			default:
 				a.Runs++
@@ -59,6 +65,19 @@
 	g.Expect(a.Decide(Errored)).To(Equal(RelayAnswer))
 }
 
+// After a crash of many endpoints a request may meet several that refuse the connection.
+// It goes on for longer than after refusals that take time, though not without end.
+func TestRefusedConnectionsAreFollowedByMoreAttempts(t *testing.T) {
+	g := NewWithT(t)
+	a := Attempts{MaxRuns: 1, TimeLeft: time.Second}
+	for a.Unreachable = 1; a.Unreachable < maxUnreachable; a.Unreachable++ {
+		g.Expect(a.Decide(NotSent)).To(Equal(TryAnother))
+	}
+	g.Expect(a.Decide(NotSent)).To(Equal(ReportNotRun))
+	a = Attempts{MaxRuns: 1, TimeLeft: time.Second, Refusals: maxRefusals}
+	g.Expect(a.Decide(NotSent)).To(Equal(ReportNotRun))
+}
+
 // Bounds of the shared budget in the tests.
 const (
 	ratio   = 0.2
