--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -59,7 +59,7 @@
 	// missedGapCost is the cost of an urgent stream that misses its gap target. A pause up to
 	// riskyGapFraction of the target is not at risk.
 	missedGapCost    = 300 * time.Millisecond
-	riskyGapFraction = 0.7
+	riskyGapFraction = 0.8
 )
 
 // eventPause returns the time between two events of a stream while an engine with
--- a/internal/balance/interference.go
+++ b/internal/balance/interference.go
@@ -77,7 +77,7 @@
 		return cost + time.Duration(recentPrefillFactor*float64(prefillTime(e.recentPrefill.at(now)+e.peerLoad.RecentPrefillTokens)))
 	}
 	urgentStreams := float64(e.urgentRequests + e.peerLoad.UrgentRequests)
-	perStream := time.Duration(prefillInterferenceFactor*float64(prefillTime(prefillTokens))) + t.missedGapCost(r.Service, d, prefillTokens)
+	perStream := max(time.Duration(prefillInterferenceFactor*float64(prefillTime(prefillTokens))), t.missedGapCost(r.Service, d, prefillTokens))
 	return cost + time.Duration(urgentStreams*float64(perStream))
 }
 
