Bound what callers and control hosts may send in memory

Cause: a caller's body may have 4 MiB by configuration, its head 1 MiB, and messages and heads between hosts had the libraries' defaults or no limit, so a few hundred such callers or one faulty peer fill an entry of 112 MiB. A caller's head may have 128 KiB (the configurations seen allow 16), a message between hosts 16 MiB, a response head 32 KiB.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -22,7 +22,7 @@
 	headerTimeoutSlack   = time.Second
 	// maxHeaderBytes is the most that any configuration may allow. A connection uses
 	// only as much memory as its header takes.
-	maxHeaderBytes = 1 << 20
+	maxHeaderBytes = 128 << 10
 	// noticePeriod is how long a stopping entry serves open connections with
 	// "Connection: close". It covers two checks of the load balancer a second apart, a
 	// second until callers follow, and the retransmission of a lost request.
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
@@ -140,7 +141,7 @@
 			continue
 		}
 		hostCtx, cancel := context.WithCancel(ctx)
-		client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTPClient, url, connect.WithAcceptCompression("gzip", nil, nil))
+		client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTPClient, url, connect.WithReadMaxBytes(rpc.MaxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))
 		h := &host{url: url, client: client, cancel: cancel, liveChangedAt: time.Now()}
 		f.hosts[url] = h
 		group.Go(func() error { f.followHost(hostCtx, h); return nil })
--- a/internal/fleet/peer_poll.go
+++ b/internal/fleet/peer_poll.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
@@ -57,7 +58,7 @@
 			}
 			p := peers[m.URL]
 			if p == nil {
-				p = &peer{url: m.URL, client: trefoilkeelv1connect.NewFleetServiceClient(s.httpClient, m.URL, connect.WithAcceptCompression("gzip", nil, nil))}
+				p = &peer{url: m.URL, client: trefoilkeelv1connect.NewFleetServiceClient(s.httpClient, m.URL, connect.WithReadMaxBytes(rpc.MaxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))}
 				peers[m.URL] = p
 			}
 			if p.tryBeginPoll() {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -19,6 +19,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
@@ -93,7 +94,7 @@
 
 // Handler returns the handler of FleetService and its path.
 func (s *Server) Handler() (path string, h http.Handler) {
-	return trefoilkeelv1connect.NewFleetServiceHandler(s)
+	return trefoilkeelv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(rpc.MaxMessageBytes))
 }
 
 // PutDocument stores a validated document if its version is the highest, and returns once
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -52,13 +52,14 @@
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		TLSClientConfig:     tlsConfig.Clone(),
-		TLSHandshakeTimeout: dialTimeout,
-		Protocols:           protocols,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		DialContext:            dialer.DialContext,
+		TLSClientConfig:        tlsConfig.Clone(),
+		TLSHandshakeTimeout:    dialTimeout,
+		Protocols:              protocols,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}}
 }
 
@@ -68,10 +69,11 @@
 func HTTP1Client(connectTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
 	}}
 }
 
