--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo run drill test-long fuzz overhead capacity
+.PHONY: build test demo run drill test-long fuzz overhead capacity regression
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,6 +35,13 @@
 capacity:
 	@cd tools && go run ./capacity ..
 
+# regression plays the standard days of SITES on the bench at BENCH and compares them
+# with the last full scores in the journal. CONTRIBUTING.md names the sites.
+JOBS ?= 4
+regression:
+	cd tools && go build -o ../bin/regression ./regression
+	./bin/regression --bench $(BENCH) --jobs $(JOBS) $(SITES)
+
 # fuzz runs each fuzz target with FUZZ inputs. The inputs differ from run to
 # run, so it is no part of the checks; the seed corpora run as plain tests.
 FUZZ ?= 20000
