--- a/internal/entry/body_budget_test.go
+++ b/internal/entry/body_budget_test.go
@@ -41,7 +41,7 @@
 		_, _, err = b.ReadAll(io.MultiReader(strings.NewReader(long), brokenReader{}))
 		g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	}
-	g.Expect(b.free.TryAcquire(4 * bodyBudgetStep)).To(BeTrue(), "all of it has been given back")
+	g.Expect(b.free.TryAcquire(4*bodyBudgetStep)).To(BeTrue(), "all of it has been given back")
 }
 
 // brokenReader ends with an error.
