Call a tombstone of a waiting attempt a tombstone

Cause: a repeat of a protected request finds the first attempt absent at the agent and has it refused for good, just as it arrives and waits. The agent answered the first router with a passed deadline, so its caller was told 504, not run, while the repeat ran the request. Change: the agent answers tombstoned; the router claims again and joins the attempt that runs. Test: a waiting attempt is tombstoned; 504 before, 200 now. Ruled out: a second run, a lost settlement, a deadline.

--- a/internal/agent/protected.go
+++ b/internal/agent/protected.go
@@ -95,15 +95,26 @@
 		}
 	}()
 	if reqErr := a.awaitSlot(ctx, att); reqErr != nil {
-		return reqErr
+		select {
+		case <-rec.done: // the tombstone ended the wait, not the deadline
+			return tombstonedWhileWaiting()
+		default:
+			return reqErr
+		}
 	}
 	if !att.incarnation.attempts.markRunning(rec) {
 		a.queue.cancel(att.key)
-		return notRunError(dispatch.Tombstoned, http.StatusConflict, "the attempt was refused while it waited")
+		return tombstonedWhileWaiting()
 	}
 	return nil
 }
 
+// tombstonedWhileWaiting returns the error of an attempt that was tombstoned before its
+// start. Its router may claim another attempt.
+func tombstonedWhileWaiting() *dispatch.RequestError {
+	return notRunError(dispatch.Tombstoned, http.StatusConflict, "the attempt was refused while it waited")
+}
+
 // callProtected makes the only call to the endpoint and reads the whole response.
 func (a *Agent) callProtected(ctx context.Context, att *attempt) (*trefoilkeelv1.StoredAnswer, *dispatch.RequestError) {
 	response, err := a.client.Do(ctx, att.call)
--- a/internal/router/cluster_test.go
+++ b/internal/router/cluster_test.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 
 	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/agent"
 	"github.com/trefoilkeel/trefoilkeel/internal/flow"
 	"github.com/trefoilkeel/trefoilkeel/internal/router"
@@ -269,6 +270,47 @@
 	return connect.NewResponse(proto.CloneOf(claim)), nil
 }
 
+// claimOf returns the claim of a key of the only workspace in use, nil for none.
+func (ledger *fakeLedger) claimOf(key string) *trefoilkeelv1.ClaimResponse {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	for claimKey, claim := range ledger.claims {
+		if strings.HasSuffix(claimKey, "/"+key) {
+			return proto.CloneOf(claim)
+		}
+	}
+	return nil
+}
+
+// agentOf returns a client of the agent that got the attempt of a claim.
+func (cluster *testCluster) agentOf(claim *trefoilkeelv1.ClaimResponse) trefoilkeelv1connect.AgentServiceClient {
+	for _, endpoint := range cluster.Endpoints() {
+		if endpoint.GetName() == claim.GetEndpoint() {
+			return trefoilkeelv1connect.NewAgentServiceClient(http.DefaultClient, endpoint.GetAgentUrl())
+		}
+	}
+	return nil
+}
+
+// phaseOf returns the phase of the attempt of a claim, 0 if there is no claim.
+func (cluster *testCluster) phaseOf(claim *trefoilkeelv1.ClaimResponse) trefoilkeelv1.RequestPhase {
+	if claim == nil {
+		return trefoilkeelv1.RequestPhase_REQUEST_PHASE_UNSPECIFIED
+	}
+	response, err := cluster.agentOf(claim).Inspect(context.Background(), connect.NewRequest(&trefoilkeelv1.InspectRequest{
+		RequestId: claim.GetRequestId(), Attempt: claim.GetAttempt(), Incarnation: claim.GetIncarnation()}))
+	Expect(err).NotTo(HaveOccurred())
+	return response.Msg.GetPhase()
+}
+
+// tombstone refuses the attempt of a claim permanently.
+func (cluster *testCluster) tombstone(claim *trefoilkeelv1.ClaimResponse) trefoilkeelv1.Execution {
+	response, err := cluster.agentOf(claim).Tombstone(context.Background(), connect.NewRequest(&trefoilkeelv1.TombstoneRequest{
+		RequestId: claim.GetRequestId(), Attempt: claim.GetAttempt(), Incarnation: claim.GetIncarnation()}))
+	Expect(err).NotTo(HaveOccurred())
+	return response.Msg.GetExecution()
+}
+
 func (ledger *fakeLedger) Settle(_ context.Context, r *connect.Request[trefoilkeelv1.SettleRequest]) (*connect.Response[trefoilkeelv1.SettleResponse], error) {
 	ledger.mu.Lock()
 	defer ledger.mu.Unlock()
--- a/internal/router/protected_test.go
+++ b/internal/router/protected_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	trefoilkeelv1 "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/internal/flow"
 	"github.com/trefoilkeel/trefoilkeel/internal/standin"
 )
 
@@ -147,6 +149,30 @@
 		}
 	})
 
+	// A repeat found the attempt absent and had it tombstoned when it had just arrived.
+	It("goes on with another attempt if its first one is tombstoned while it waits", func() {
+		cluster := newTestClusterWithFlow(1, flow.Config{Slots: 1, MinSlots: 1, MaxSlots: 1})
+		defer cluster.shutdown()
+		Expect(cluster.service.InjectFault(standin.Fault{Kind: standin.FaultLate, Count: 2, DelayMS: 1000})).To(Succeed())
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		for _, key := range []string{"busy-0", "busy-1"} { // one for each agent
+			callers.Go(func() { defer GinkgoRecover(); cluster.send(feeRequest(key)) })
+			Eventually(func() int { return cluster.service.Records().Runs[key] }, "5s").Should(Equal(1))
+		}
+		responses := make(chan testResponse, 1)
+		callers.Go(func() { defer GinkgoRecover(); responses <- cluster.send(feeRequest("k1")) })
+		claim := &trefoilkeelv1.ClaimResponse{}
+		Eventually(func() trefoilkeelv1.RequestPhase {
+			claim = cluster.ledger.claimOf("k1")
+			return cluster.phaseOf(claim)
+		}, "5s", "5ms").Should(Equal(trefoilkeelv1.RequestPhase_REQUEST_PHASE_WAITING))
+		Expect(cluster.tombstone(claim)).To(Equal(trefoilkeelv1.Execution_EXECUTION_NOT_RUN))
+		response := <-responses
+		Expect(response.status).To(Equal(http.StatusOK), response.body)
+		Expect(cluster.service.Records().Runs["k1"]).To(Equal(1))
+	})
+
 	It("does not report a repeat as not run while the ledger is unavailable", func() {
 		cluster := newTestCluster(1)
 		defer cluster.shutdown()
