Apply departures reported by hosts that don't know the endpoint

Cause: an endpoint that leaves told a control host that had just restarted and didn't know it; the departure carried start time 0, which any known incarnation outranks, so entries went on sending, and a delayed report made it ready again. Change: such a departure counts for the incarnation that reported before it, by arrival times, in either order. Ruled out: a cut link; the entry of the same host sent the request.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -60,6 +60,7 @@
 type record struct {
 	Endpoint
 	changedRevision uint64
+	firstReportAt   time.Time // time of the first report of the incarnation that was merged
 }
 
 // New returns an empty directory.
@@ -71,6 +72,9 @@
 // besides the sequence number and times.
 func (d *Directory) MergeReport(e Endpoint) (changed bool) {
 	old := d.byID[e.ID]
+	if old != nil {
+		e = resolveDeparture(e, old)
+	}
 	if old != nil && !supersedes(&e, &old.Endpoint) {
 		return false
 	}
@@ -85,10 +89,33 @@
 		return false
 	}
 	d.revision++
-	d.byID[e.ID] = &record{Endpoint: e, changedRevision: d.revision}
+	merged := &record{Endpoint: e, changedRevision: d.revision, firstReportAt: e.LastReportAt}
+	if old != nil && old.StartedUnixMS == e.StartedUnixMS {
+		merged.firstReportAt = old.firstReportAt
+	}
+	d.byID[e.ID] = merged
 	return true
 }
 
+// resolveDeparture returns e with the incarnation that a departure without a start time
+// is about. A host that does not know an endpoint reports its departure so. The departure
+// is about an incarnation that reported before it, and not about one that began later.
+// The comparison uses the times at which reports arrived, not the endpoint's clock.
+func resolveDeparture(e Endpoint, old *record) Endpoint {
+	switch {
+	case e.isDepartureOfUnknown() && !old.isDepartureOfUnknown() && old.firstReportAt.Before(e.LastReportAt):
+		departed := old.Endpoint
+		departed.State, departed.LastReportAt = Gone, e.LastReportAt
+		return departed
+	case old.isDepartureOfUnknown() && !e.isDepartureOfUnknown() && e.LastReportAt.Before(old.LastReportAt):
+		e.State, e.LastReportAt = Gone, old.LastReportAt
+	}
+	return e
+}
+
+// isDepartureOfUnknown reports whether e only says that the endpoint with this ID has left.
+func (e *Endpoint) isDepartureOfUnknown() bool { return e.State == Gone && e.StartedUnixMS == 0 }
+
 // supersedes reports whether e replaces an older report of the same endpoint. An
 // incarnation never leaves the state Gone.
 func supersedes(e, old *Endpoint) bool {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -120,3 +120,37 @@
 		}
 	})
 }
+
+// An endpoint says that it leaves to a host that has just restarted and does not know it.
+// Whoever knows it must take that as the departure of the incarnation that reported
+// before, also if a delayed report of it still follows, and not of one that began later.
+func TestDepartureReportedByHostThatDoesNotKnowTheEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	at := func(seconds int) time.Time {
+		return time.Unix(1_800_000_000, 0).Add(time.Duration(seconds) * time.Second)
+	}
+	report := func(started int64, sequence uint64, seconds int) Endpoint {
+		return Endpoint{ID: "x", Service: "s", Address: "h:1", State: Ready, StartedUnixMS: started, Sequence: sequence, LastReportAt: at(seconds)}
+	}
+	departure := Endpoint{ID: "x", State: Gone, LastReportAt: at(10)}
+	stateAfter := func(reports ...Endpoint) State {
+		d := New()
+		for _, r := range reports {
+			d.MergeReport(r)
+		}
+		e, _ := d.Get("x")
+		return e.State
+	}
+	const first, second = 5000, 6000
+	g.Expect(stateAfter(report(first, 7, 1), report(first, 12, 9), departure)).To(Equal(Gone))
+	g.Expect(stateAfter(report(first, 7, 1), departure, report(first, 13, 12))).To(Equal(Gone), "delayed report")
+	g.Expect(stateAfter(departure, report(first, 12, 9))).To(Equal(Gone), "learned in the other order")
+	g.Expect(stateAfter(departure, report(first, 12, 9), report(first, 13, 12))).To(Equal(Gone))
+	g.Expect(stateAfter(report(first, 7, 1), departure, report(second, 1, 12))).To(Equal(Ready), "restarted")
+	g.Expect(stateAfter(report(first, 7, 1), report(second, 1, 12), departure)).To(Equal(Ready), "restarted, and told of the departure late")
+	g.Expect(stateAfter(departure, report(second, 1, 12))).To(Equal(Ready))
+	g.Expect(stateAfter(report(first, 7, 1), departure, departure)).To(Equal(Gone))
+	// A clock that jumped back makes the start time of the new incarnation the lower one;
+	// such a restart counts as the old incarnation until the record is removed.
+	g.Expect(stateAfter(report(second, 7, 1), departure, report(first, 1, 12))).To(Equal(Gone))
+}
