Reserve half of the engines only where prompts break gap targets

Change: half of a domain, and 0.35 of the slots, only where a long prompt's pause is over 0.8 of the shortest gap target; elsewhere a third and 0.45. Test: 400 streams with targets of 120 and 190 ms.

--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -70,6 +70,16 @@
 	return time.Duration(steps)*step + prefillTime(min(tokens, steps*prefillChunkTokens))
 }
 
+// longPromptsBreakGaps reports whether a prompt that takes as long to prefill as an event
+// puts the shortest gap target of the service at risk, on an endpoint with as many urgent
+// streams as it runs at least if it is reserved.
+func (t *Table) longPromptsBreakGaps(e *endpoint) bool {
+	target := t.shortestGapTargets[e.Service]
+	m := t.model(e.Service)
+	pause := m.eventPause(e.slotsAt(reservedSlotFractionAtRisk), cmp.Or(m.tokensPerEvent, defaultTokensPerEvent)*prefillChunkTokens)
+	return target > 0 && float64(pause) > riskyGapFraction*float64(target)
+}
+
 // missedGapCost returns the expected cost for one urgent stream of an engine if a prompt
 // is prefilled there.
 func (t *Table) missedGapCost(service string, d demand, prefillTokens int) time.Duration {
--- a/internal/balance/fleet_size_test.go
+++ b/internal/balance/fleet_size_test.go
@@ -82,7 +82,7 @@
 	setPeerLoads(table, epoch, loads)
 	small := reservedOf(table)
 	g.Expect(small).To(BeNumerically(">=", 70/16+1), "70 streams need at least this many engines of 16 slots")
-	g.Expect(small).To(BeNumerically("<=", 5*15/maxReservedDivisor))
+	g.Expect(small).To(BeNumerically("<=", 5*15/maxReservedDivisorAtRisk))
 	for _, e := range table.services["llm"] {
 		larger := e.Endpoint
 		larger.Slots = 64
@@ -195,3 +195,25 @@
 		g.Expect(count).To(BeNumerically("<=", requests/2), "%s of %v", id, counts)
 	}
 }
+
+// Reserving half of the engines helps only where a long prompt would break the gap targets;
+// elsewhere long prompts need the engines.
+func TestMoreEnginesAreReservedWherePrefillBreaksGaps(t *testing.T) {
+	g := NewWithT(t)
+	reservedWith := func(target time.Duration) (count int) {
+		table := newLargeFleet()
+		table.SetShortestGapTarget("llm", target)
+		for i := range uint64(400) {
+			_, _ = chooseAndSend(g, table, epoch, commentary(i))
+		}
+		setPeerLoads(table, epoch, map[string]map[string]InFlightLoad{"a": {}, "b": {}, "c": {}, "d": {}, "e": {}})
+		for _, e := range table.services["llm"] {
+			if e.reserved {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(reservedWith(120 * time.Millisecond)).To(Equal(5 * (15 / maxReservedDivisorAtRisk)))
+	g.Expect(reservedWith(190 * time.Millisecond)).To(Equal(5 * (15 / maxReservedDivisor)))
+}
--- a/internal/balance/interference.go
+++ b/internal/balance/interference.go
@@ -73,7 +73,7 @@
 	}
 	cost := time.Duration(float64(d.running+d.waiting) * float64(unitCostGapTarget) / float64(r.GapTarget) * float64(time.Millisecond))
 	if r.urgentCount() > 0 {
-		cost += time.Duration(max(d.running+d.waiting-e.streamsIfReserved(), 0)) * excessStreamCost
+		cost += time.Duration(max(d.running+d.waiting-t.streamsIfReserved(e), 0)) * excessStreamCost
 		return cost + time.Duration(recentPrefillFactor*float64(prefillTime(e.recentPrefill.at(now)+e.peerLoad.RecentPrefillTokens)))
 	}
 	urgentStreams := float64(e.urgentRequests + e.peerLoad.UrgentRequests)
--- a/internal/balance/reserved.go
+++ b/internal/balance/reserved.go
@@ -14,11 +14,16 @@
 	// defaultReservedDivisor makes one in so many endpoints of a failure domain
 	// reserved where the number of its urgent streams is not known.
 	defaultReservedDivisor = 4
-	// maxReservedDivisor makes at most one in so many endpoints reserved.
-	maxReservedDivisor = 2
+	// maxReservedDivisor makes at most one in so many endpoints reserved, and
+	// maxReservedDivisorAtRisk where any long prompt would make urgent streams miss their
+	// gap target.
+	maxReservedDivisor       = 3
+	maxReservedDivisorAtRisk = 2
 	// reservedSlotFraction is the fraction of its slots in which a reserved endpoint runs
-	// urgent streams. The rest is for bursts of them.
-	reservedSlotFraction = 0.35
+	// urgent streams, and reservedSlotFractionAtRisk that where long prompts would make
+	// them miss their gap target. The rest is for bursts of them.
+	reservedSlotFraction       = 0.45
+	reservedSlotFractionAtRisk = 0.35
 	// minEndpointsToReserve is how many endpoints a failure domain must have for one
 	// to be reserved.
 	minEndpointsToReserve = 3
@@ -68,7 +73,11 @@
 		})
 		count := len(candidates) / defaultReservedDivisor
 		if target := t.reservedTargets[service]; target != nil && (domain == t.config.Domain || t.knownLoadDomains[domain]) {
-			count = min(target.count, len(candidates)/maxReservedDivisor)
+			divisor := maxReservedDivisor
+			if t.longPromptsBreakGaps(candidates[0]) {
+				divisor = maxReservedDivisorAtRisk
+			}
+			count = min(target.count, len(candidates)/divisor)
 		}
 		for _, e := range candidates[:max(count, 1)] {
 			e.reserved = true
@@ -81,7 +90,7 @@
 func (t *Table) adjustReserved(now time.Time, domainsChanged bool) {
 	for service, endpoints := range t.services {
 		// Each increment of the count reserves one more endpoint in every domain.
-		streamsPerCount := meanStreamsIfReserved(endpoints) * max(len(t.knownLoadDomains), 1)
+		streamsPerCount := t.meanStreamsIfReserved(endpoints) * max(len(t.knownLoadDomains), 1)
 		streams := 0
 		for _, e := range endpoints {
 			streams += e.urgentRequests + e.peerLoad.UrgentRequests
@@ -111,15 +120,24 @@
 
 // streamsIfReserved returns how many urgent streams the endpoint runs within their gap
 // target if it is reserved.
-func (e *endpoint) streamsIfReserved() int {
-	return max(int(reservedSlotFraction*float64(cmp.Or(e.Slots, defaultSlots))), 1)
+func (t *Table) streamsIfReserved(e *endpoint) int {
+	fraction := reservedSlotFraction
+	if t.longPromptsBreakGaps(e) {
+		fraction = reservedSlotFractionAtRisk
+	}
+	return e.slotsAt(fraction)
+}
+
+// slotsAt returns a fraction of the endpoint's slots, at least 1.
+func (e *endpoint) slotsAt(fraction float64) int {
+	return max(int(fraction*float64(cmp.Or(e.Slots, defaultSlots))), 1)
 }
 
 // meanStreamsIfReserved returns the mean of streamsIfReserved, at least 1.
-func meanStreamsIfReserved(endpoints []*endpoint) int {
+func (t *Table) meanStreamsIfReserved(endpoints []*endpoint) int {
 	total := 0
 	for _, e := range endpoints {
-		total += e.streamsIfReserved()
+		total += t.streamsIfReserved(e)
 	}
 	return max(total/max(len(endpoints), 1), 1)
 }
