Look the model of a service's engines up once a choice

Change: the shortest gap target is part of the engine model, which is found once a choice. No decision changes. Ruled out: caching the cost by endpoint; it changes with each report.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -178,7 +178,6 @@
 	cacheCapacityTokens   map[string]int // of one engine, 0 if not known
 	leastUrgentRanks      map[string]int
 	engineModels          map[string]*engineModel
-	shortestGapTargets    map[string]time.Duration // among the routes of the service, 0 if none is a stream
 	copyTimesPerToken     map[string]time.Duration // between engines, 0 if they cannot copy
 	unsentPlacements      []PartPlacement          // to be reported to other entries
 }
@@ -186,7 +185,7 @@
 // New returns an empty table.
 func New(config Config) *Table {
 	return &Table{config: config.withDefaults(), endpoints: map[string]*endpoint{}, byKey: map[EndpointKey]*endpoint{}, services: map[string][]*endpoint{}, knownLoadDomains: map[string]bool{}, lastUrgentAt: map[string]time.Time{},
-		reservedTargets: map[string]*reservedTarget{}, waitFactors: map[string]*waitFactor{}, leastUrgentRanks: map[string]int{}, engineModels: map[string]*engineModel{}, shortestGapTargets: map[string]time.Duration{}, cacheCapacityTokens: map[string]int{}, copyTimesPerToken: map[string]time.Duration{}}
+		reservedTargets: map[string]*reservedTarget{}, waitFactors: map[string]*waitFactor{}, leastUrgentRanks: map[string]int{}, engineModels: map[string]*engineModel{}, cacheCapacityTokens: map[string]int{}, copyTimesPerToken: map[string]time.Duration{}}
 }
 
 // Update applies a change of the directory. maxRequests limits this entry's requests
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -54,6 +54,7 @@
 	meanErrorRate     float64 // of the endpoints of the service
 	meanSlowdown      float64 // of the endpoints of the service
 	waitFactor        float64
+	model             *engineModel
 	overhead          time.Duration
 	spread            time.Duration // costs within this of each other count as equal
 	spreadSeed        uint64        // differs between requests
@@ -64,10 +65,10 @@
 }
 
 func (t *Table) newChoiceInputs(now time.Time, r *Request) choiceInputs {
-	in := choiceInputs{now: now, request: r, waitFactor: 1, reservationActive: t.reservationActive(now, r.Service), sharedTokens: sharedTokens(r.Parts), serviceEndpoints: t.services[r.Service]}
+	in := choiceInputs{now: now, request: r, model: t.model(r.Service), waitFactor: 1, reservationActive: t.reservationActive(now, r.Service), sharedTokens: sharedTokens(r.Parts), serviceEndpoints: t.services[r.Service]}
 	if r.PromptTokens > 0 {
 		in.waitFactor = t.currentWaitFactor(now, r.Service)
-		in.overhead = t.model(r.Service).overhead()
+		in.overhead = in.model.overhead()
 	}
 	if len(r.Parts) > 0 {
 		in.spreadSeed = r.Parts[len(r.Parts)-1].ID
@@ -223,7 +224,7 @@
 	if e != in.preferred {
 		c.Cost += t.repeatedPrefillCost(r, max(in.sharedTokens-cached, 0))
 	}
-	c.Cost += t.interferenceCost(now, e, r, load, c.PrefillTokens) + e.degradationCost(in, slowdown)
+	c.Cost += e.interferenceCost(in, load, c.PrefillTokens) + e.degradationCost(in, slowdown)
 	c.Cost += time.Duration(unitHash(in.spreadSeed^e.idHash) * float64(in.spread))
 	if in.reservationActive && r.PromptTokens > 0 {
 		c.Cost += e.isolationCost(r, c.PrefillTokens)
--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -9,7 +9,8 @@
 // engineModel describes how the engines of a service produce streams, as configured and
 // as measured.
 type engineModel struct {
-	tokensPerEvent int
+	tokensPerEvent    int           // 0 if not known
+	shortestGapTarget time.Duration // among the routes of the service, 0 if none is a stream
 	// residuals are the latest times to the first event beyond those that depend on the
 	// load, in a ring.
 	residuals    [overheadSamples]time.Duration
@@ -53,6 +54,12 @@
 	t.model(service).tokensPerEvent = tokens
 }
 
+// SetShortestGapTarget sets the shortest gap target among the routes of a service, 0 if
+// none is a stream.
+func (t *Table) SetShortestGapTarget(service string, target time.Duration) {
+	t.model(service).shortestGapTarget = target
+}
+
 const (
 	// defaultTokensPerEvent applies where the number is not known.
 	defaultTokensPerEvent = 6
@@ -73,21 +80,18 @@
 // longPromptsBreakGaps reports whether a prompt that takes as long to prefill as an event
 // puts the shortest gap target of the service at risk, on an endpoint with as many urgent
 // streams as it runs at least if it is reserved.
-func (t *Table) longPromptsBreakGaps(e *endpoint) bool {
-	target := t.shortestGapTargets[e.Service]
-	m := t.model(e.Service)
+func (m *engineModel) longPromptsBreakGaps(e *endpoint) bool {
 	pause := m.eventPause(e.slotsAt(reservedSlotFractionAtRisk), cmp.Or(m.tokensPerEvent, defaultTokensPerEvent)*prefillChunkTokens)
-	return target > 0 && float64(pause) > riskyGapFraction*float64(target)
+	return m.shortestGapTarget > 0 && float64(pause) > riskyGapFraction*float64(m.shortestGapTarget)
 }
 
 // missedGapCost returns the expected cost for one urgent stream of an engine if a prompt
 // is prefilled there.
-func (t *Table) missedGapCost(service string, d demand, prefillTokens int) time.Duration {
-	target := t.shortestGapTargets[service]
-	if target <= 0 {
+func (m *engineModel) missedGapCost(d demand, prefillTokens int) time.Duration {
+	if m.shortestGapTarget <= 0 {
 		return 0
 	}
-	pause := t.model(service).eventPause(d.running, d.prefillTokens+prefillTokens)
-	risk := (float64(pause)/float64(target) - riskyGapFraction) / (1 - riskyGapFraction)
+	pause := m.eventPause(d.running, d.prefillTokens+prefillTokens)
+	risk := (float64(pause)/float64(m.shortestGapTarget) - riskyGapFraction) / (1 - riskyGapFraction)
 	return time.Duration(min(max(risk, 0), 1) * float64(missedGapCost))
 }
--- a/internal/balance/fleet_size_test.go
+++ b/internal/balance/fleet_size_test.go
@@ -99,7 +99,7 @@
 	g := NewWithT(t)
 	table := newLargeFleet()
 	cost := func(pending, tokens int) time.Duration {
-		return table.missedGapCost("llm", demand{running: 12, prefillTokens: pending}, tokens)
+		return table.model("llm").missedGapCost(demand{running: 12, prefillTokens: pending}, tokens)
 	}
 	g.Expect(cost(0, 1000)).To(BeZero())
 	g.Expect(cost(0, 9000)).To(And(BeNumerically(">", missedGapCost/2), BeNumerically("<=", missedGapCost)))
--- a/internal/balance/interference.go
+++ b/internal/balance/interference.go
@@ -53,31 +53,26 @@
 // its gap target is short, also in comparison with other streams of the service.
 func (t *Table) isUrgent(r *Request) bool {
 	limit := urgentGapTarget
-	if shortest := t.shortestGapTargets[r.Service]; shortest > 0 {
+	if shortest := t.model(r.Service).shortestGapTarget; shortest > 0 {
 		limit = min(limit, time.Duration(urgentGapRatio*float64(shortest)))
 	}
 	return r.GapTarget > 0 && r.GapTarget <= limit
 }
 
-// SetShortestGapTarget sets the shortest gap target among the routes of a service, 0 if
-// none is a stream.
-func (t *Table) SetShortestGapTarget(service string, target time.Duration) {
-	t.shortestGapTargets[service] = target
-}
-
 // interferenceCost returns what a request loses to the other requests of an
 // endpoint, and what they lose to it, besides its wait.
-func (t *Table) interferenceCost(now time.Time, e *endpoint, r *Request, d demand, prefillTokens int) time.Duration {
+func (e *endpoint) interferenceCost(in *choiceInputs, d demand, prefillTokens int) time.Duration {
+	r := in.request
 	if r.PromptTokens == 0 || r.GapTarget <= 0 {
 		return 0
 	}
 	cost := time.Duration(float64(d.running+d.waiting) * float64(unitCostGapTarget) / float64(r.GapTarget) * float64(time.Millisecond))
 	if r.urgentCount() > 0 {
-		cost += time.Duration(max(d.running+d.waiting-t.streamsIfReserved(e), 0)) * excessStreamCost
-		return cost + time.Duration(recentPrefillFactor*float64(prefillTime(e.recentPrefill.at(now)+e.peerLoad.RecentPrefillTokens)))
+		cost += time.Duration(max(d.running+d.waiting-in.model.streamsIfReserved(e), 0)) * excessStreamCost
+		return cost + time.Duration(recentPrefillFactor*float64(prefillTime(e.recentPrefill.at(in.now)+e.peerLoad.RecentPrefillTokens)))
 	}
 	urgentStreams := float64(e.urgentRequests + e.peerLoad.UrgentRequests)
-	perStream := max(time.Duration(prefillInterferenceFactor*float64(prefillTime(prefillTokens))), t.missedGapCost(r.Service, d, prefillTokens))
+	perStream := max(time.Duration(prefillInterferenceFactor*float64(prefillTime(prefillTokens))), in.model.missedGapCost(d, prefillTokens))
 	return cost + time.Duration(urgentStreams*float64(perStream))
 }
 
--- a/internal/balance/reserved.go
+++ b/internal/balance/reserved.go
@@ -74,7 +74,7 @@
 		count := len(candidates) / defaultReservedDivisor
 		if target := t.reservedTargets[service]; target != nil && (domain == t.config.Domain || t.knownLoadDomains[domain]) {
 			divisor := maxReservedDivisor
-			if t.longPromptsBreakGaps(candidates[0]) {
+			if t.model(service).longPromptsBreakGaps(candidates[0]) {
 				divisor = maxReservedDivisorAtRisk
 			}
 			count = min(target.count, len(candidates)/divisor)
@@ -90,7 +90,7 @@
 func (t *Table) adjustReserved(now time.Time, domainsChanged bool) {
 	for service, endpoints := range t.services {
 		// Each increment of the count reserves one more endpoint in every domain.
-		streamsPerCount := t.meanStreamsIfReserved(endpoints) * max(len(t.knownLoadDomains), 1)
+		streamsPerCount := t.model(service).meanStreamsIfReserved(endpoints) * max(len(t.knownLoadDomains), 1)
 		streams := 0
 		for _, e := range endpoints {
 			streams += e.urgentRequests + e.peerLoad.UrgentRequests
@@ -120,9 +120,9 @@
 
 // streamsIfReserved returns how many urgent streams the endpoint runs within their gap
 // target if it is reserved.
-func (t *Table) streamsIfReserved(e *endpoint) int {
+func (m *engineModel) streamsIfReserved(e *endpoint) int {
 	fraction := reservedSlotFraction
-	if t.longPromptsBreakGaps(e) {
+	if m.longPromptsBreakGaps(e) {
 		fraction = reservedSlotFractionAtRisk
 	}
 	return e.slotsAt(fraction)
@@ -134,10 +134,10 @@
 }
 
 // meanStreamsIfReserved returns the mean of streamsIfReserved, at least 1.
-func (t *Table) meanStreamsIfReserved(endpoints []*endpoint) int {
+func (m *engineModel) meanStreamsIfReserved(endpoints []*endpoint) int {
 	total := 0
 	for _, e := range endpoints {
-		total += t.streamsIfReserved(e)
+		total += m.streamsIfReserved(e)
 	}
 	return max(total/max(len(endpoints), 1), 1)
 }
