Restore the bound of the burst test

Cause: the bound of TestABurstOfUrgentStreamsIsSpread was derived from the count of urgent streams of a reserved engine; as that count went from 22 to 28 for engines of 64 slots, the bound rose from 33 to 42 with it. That loosened an existing check and was not meant. Change: the bound is 33 again, as before. A test's comment is reworded. Ruled out: nothing.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -562,7 +562,7 @@
 		setPeerLoads(table, epoch, noLoad)
 	}
 	for id, count := range counts {
-		g.Expect(count).To(BeNumerically("<=", 3*table.model("llm").streamsIfReserved(&endpoint{Endpoint: engine("x", "a")})/2), "%s of %v", id, counts)
+		g.Expect(count).To(BeNumerically("<=", 3*22/2), "%s of %v", id, counts)
 	}
 }
 
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -100,8 +100,8 @@
 	}, "2s", "20ms").Should(Equal("e1e0"))
 }
 
-// If every endpoint wants no requests, the caller is told at once, truly not run, when
-// the first of them takes requests again. No endpoint is tried all the same.
+// If every endpoint wants no requests, the caller is refused at once as not run, with the
+// time until the first of them takes requests again. No endpoint is tried all the same.
 func TestRefusedAtOnceIfEveryEndpointIsHeld(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, withHeader("Hold", "10s", refuseNotRun), withHeader("Hold", "4s", refuseNotRun))
