Log which request an attempt and a request belonged to

The fingerprint is the same for requests with the same workspace, method, host, path, prompt and body, on all hosts, and says nothing of what they hold.

It tells whether endpoints end under one request (the fingerprint is common to all ends and never served), under load (none is common), or under all requests of a workspace (many are).

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -60,6 +59,7 @@
 type activeRequest struct {
 	*Router
 	request             *Request
+	fingerprint         uint64 // of the request
 	writer              http.ResponseWriter
 	attempts            retry.Attempts
 	triedEndpoints      []string    // IDs; guarded by Router.mu
@@ -388,17 +388,18 @@
 
 // logBrokenAttempt logs an attempt whose connection the endpoint ended early. The attribute
 // "parts" lists the parts of the prompt: if an endpoint crashes, all its attempts break, and
-// only the one with a head and without an event can be the cause.
+// only the one with a head and without an event can be the cause. "fingerprint" tells whether
+// the same request was at other endpoints that crashed.
 func (a *activeRequest) logBrokenAttempt(err error) {
 	a.options.Logger.Info("attempt broken off by the endpoint", "request", a.request.ID, "workspace", a.request.Workspace, "route", a.request.Route.Name,
-		"endpoint", a.choice.ID, "head", a.headReceived, "events", a.attemptEvents, "parts", formatParts(a.request.PromptParts), "error", errorText(err))
+		"endpoint", a.choice.ID, "head", a.headReceived, "events", a.attemptEvents, "parts", formatParts(a.request.PromptParts), "fingerprint", formatKey(a.fingerprint), "error", errorText(err))
 }
 
 // formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
 func formatParts(parts []balance.PromptPart) string {
 	var ids []string
 	for _, part := range parts {
-		ids = append(ids, strconv.FormatUint(part.ID, 16))
+		ids = append(ids, formatKey(part.ID))
 	}
 	return strings.Join(ids, ",")
 }
@@ -519,7 +520,7 @@
 	if !a.firstResponseAt.IsZero() {
 		firstResponseMS = a.firstResponseAt.Sub(r.ReceivedAt).Milliseconds()
 	}
-	a.options.Logger.Info("request ended", "request", r.ID, "route", r.Route.Name, "workspace", r.Workspace,
+	a.options.Logger.Info("request ended", "request", r.ID, "fingerprint", formatKey(a.fingerprint), "route", r.Route.Name, "workspace", r.Workspace,
 		"service", r.Service, "endpoint", a.choice.ID, "cross", a.choice.CrossDomain, "home", a.choice.Preferred, "expected_ms", a.choice.ExpectedWait.Milliseconds(),
 		"unread", a.choice.PrefillTokens, "copied", a.choice.CopiedTokens, "copy_from", a.choice.CopySourceAddress, "report_age_ms", a.choice.ReportAge.Milliseconds(), "candidates", a.choice.CandidateCount,
 		"urgency", r.Urgency, "status", a.writtenStatus, "runs", a.attempts.Runs, "refused", a.attempts.Refusals, "resumes", a.resumeCount,
--- /dev/null
+++ b/internal/forward/fingerprint.go
@@ -0,0 +1,33 @@
+package forward
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"strconv"
+)
+
+// fingerprint identifies what a request asks for, on all hosts alike: requests of the same
+// workspace with the same method, host, path, query, prompt and body have the same one, whatever
+// their IDs.
+func fingerprint(r *Request) uint64 {
+	h := sha256.New()
+	for _, field := range []string{r.Workspace, r.Method, r.Host, r.RequestURI} {
+		// The lengths keep fields apart whose bytes would run together.
+		writeNumber(h, uint64(len(field)))
+		_, _ = h.Write([]byte(field)) // a hash returns no error
+	}
+	writeNumber(h, uint64(len(r.PromptParts)))
+	for _, part := range r.PromptParts {
+		writeNumber(h, part.ID)
+	}
+	_, _ = h.Write(r.Body)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+func writeNumber(h hash.Hash, n uint64) {
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, n))
+}
+
+// formatKey formats a fingerprint or the ID of a prompt part.
+func formatKey(key uint64) string { return strconv.FormatUint(key, 16) }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -274,7 +274,7 @@
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	rt.creditRetryBudget(r.ReceivedAt, r.Service)
 	rt.options.Metrics.AddToCounter(metrics.ClassOfferedPrefix+r.Route.Name, 1)
-	a := &activeRequest{Router: rt, request: r, writer: w, attempts: retry.Attempts{
+	a := &activeRequest{Router: rt, request: r, fingerprint: fingerprint(r), writer: w, attempts: retry.Attempts{
 		Repeatable: r.Route.SafeToRetry(), MaxRuns: max(r.Route.MaxAttempts, 1)}}
 	err := a.run(ctx)
 	a.recordMetrics(err)
