Quarantine requests that crash endpoints

Cause: what may be blamed for a crash was a shared part of a prompt only. A request without a prompt, or the last part of one, was no evidence, so the same request went to endpoint after endpoint from every entry. And the test against chance compared with what is served meanwhile: nothing is, while all endpoints of a small service are down.

Change: entries report broken attempts with a fingerprint of the request (workspace, method, host, path, prompt, body) and the service. A request that was at three endpoints when they crashed and was not served since is quarantined by the same keeper, log and watch as prompt parts. Not a crash: a break after which the endpoint responds, as entries now report; not a suspect: a request in no more crashes than happened elsewhere meanwhile, so that mass crashes condemn none. Popular requests, which were served shortly before, need crashes one after the other. Keys of requests and of prompt parts can't meet, since callers choose the latter.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -1,7 +1,7 @@
 // Package document implements a replicated state machine that holds one versioned
 // document. Operators replace it as a whole. The highest version wins; an older
 // or equal one is acknowledged, but not stored. Beside the document it holds the prompt
-// parts that are quarantined.
+// parts and requests that are quarantined.
 package document
 
 import (
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -67,15 +67,25 @@
 func (x *loadExchange) takeOutcomes() {
 	taken, pending := x.entry.router.TakeOutcomes(), &x.pendingOutcomes
 	outcomes := fleet.AttemptOutcomes{Broken: taken.Broken, ServedAttempts: taken.ServedAttempts}
-	for part, sentAt := range taken.ServedParts {
-		outcomes.Served = append(outcomes.Served, fleet.ServedPart{Part: part, SentAt: sentAt})
+	for key, sentAt := range taken.Served {
+		outcomes.Served = append(outcomes.Served, fleet.ServedKey{Key: key, SentAt: sentAt})
+	}
+	for endpoint, sentAt := range taken.Responses {
+		outcomes.Responses = append(outcomes.Responses, fleet.Response{Endpoint: endpoint, SentAt: sentAt})
 	}
 	x.judge.add(time.Now(), outcomes)
 	pending.Broken = append(pending.Broken, outcomes.Broken...)
 	pending.Broken = pending.Broken[max(len(pending.Broken)-maxPendingBroken, 0):]
-	pending.ServedAttempts += outcomes.ServedAttempts
+	if pending.ServedAttempts == nil {
+		pending.ServedAttempts = map[string]int{}
+	}
+	for service, attempts := range outcomes.ServedAttempts {
+		pending.ServedAttempts[service] += attempts
+	}
 	pending.Served = append(pending.Served, outcomes.Served...)
 	pending.Served = pending.Served[max(len(pending.Served)-maxPendingPlacements, 0):]
+	pending.Responses = append(pending.Responses, outcomes.Responses...)
+	pending.Responses = pending.Responses[max(len(pending.Responses)-maxPendingBroken, 0):]
 }
 
 // exchangeOnce exchanges load once. After a failure the last response still counts for
--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -35,10 +35,15 @@
 	for _, b := range o.Broken {
 		j.table.AddBroken(b, true)
 	}
+	for _, r := range o.Responses {
+		j.table.AddResponse(r.Endpoint, r.SentAt)
+	}
 	for _, s := range o.Served {
-		j.table.AddServed(s.Part, s.SentAt)
+		j.table.AddServed(s.Key, s.SentAt)
+	}
+	for service, attempts := range o.ServedAttempts {
+		j.table.CountServed(now, service, attempts)
 	}
-	j.table.CountServed(now, o.ServedAttempts)
 }
 
 // decide returns the parts to keep from endpoints. exchanged tells whether a control host has just
--- a/internal/entry/isolation_test.go
+++ b/internal/entry/isolation_test.go
@@ -18,7 +18,7 @@
 	j := newIsolatedJudge(start)
 	after := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 	crash := func(endpoint uint64, at time.Time) {
-		j.add(at, fleet.AttemptOutcomes{ServedAttempts: 100, Broken: []quarantine.BrokenAttempt{
+		j.add(at, fleet.AttemptOutcomes{ServedAttempts: map[string]int{"": 100}, Broken: []quarantine.BrokenAttempt{
 			{Endpoint: endpoint, SentAt: at.Add(-50 * time.Millisecond), BrokenAt: at, HasHead: true, Parts: []uint64{99}}}})
 	}
 	for i := range 5 {
--- a/internal/fleet/exchange_log.go
+++ b/internal/fleet/exchange_log.go
@@ -20,6 +20,7 @@
 	firstPosition uint64 // of records[0]
 	records       []exchangeRecord[T]
 	maxRecords    int
+	maxReturned   int // records in one response; only the newest are sent
 }
 
 // placementLog is passed on to entries and control hosts.
@@ -29,10 +30,9 @@
 // are not used, and a part that is used again is reported again.
 const exchangeRecordTTL = 10 * time.Second
 
-// maxRecordsPerResponse limits the records in one response. 128 placements take about
-// 1.8 KB, which an entry must decode while it serves requests. Only the newest are sent;
-// parts in use are reported again.
-const maxRecordsPerResponse = 128
+// maxPlacementsPerResponse takes about 1.8 KB, which an entry must decode while it serves
+// requests. Parts in use are reported again.
+const maxPlacementsPerResponse = 128
 
 // exchangeRecord is a record with the name of the entry that reported it, or "" if
 // it came from another control host.
@@ -42,8 +42,8 @@
 	receivedAt time.Time
 }
 
-func newExchangeLog[T any](maxRecords int) exchangeLog[T] {
-	return exchangeLog[T]{incarnation: rand.Uint64() | 1, maxRecords: maxRecords}
+func newExchangeLog[T any](maxRecords, maxReturned int) exchangeLog[T] {
+	return exchangeLog[T]{incarnation: rand.Uint64() | 1, maxRecords: maxRecords, maxReturned: maxReturned}
 }
 
 // add appends records, and drops those that are too old or too many. entry is ""
@@ -78,5 +78,5 @@
 			out = append(out, record.value)
 		}
 	}
-	return out[max(len(out)-maxRecordsPerResponse, 0):], ExchangeCursor{Incarnation: l.incarnation, Position: end}
+	return out[max(len(out)-l.maxReturned, 0):], ExchangeCursor{Incarnation: l.incarnation, Position: end}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -417,7 +417,7 @@
 // The stored placements are limited in number and age.
 func TestStoredPlacementsAreLimited(t *testing.T) {
 	g := NewWithT(t)
-	p, now := newExchangeLog[balance.PartPlacement](10), time.Unix(1_800_000_000, 0)
+	p, now := newExchangeLog[balance.PartPlacement](10, maxPlacementsPerResponse), time.Unix(1_800_000_000, 0)
 	for i := range uint64(25) {
 		p.add(now, "e", []balance.PartPlacement{{Endpoint: 1, Part: i}})
 	}
@@ -438,13 +438,13 @@
 // an entry. One response must hold no more than it can decode while serving requests.
 func TestPlacementsPerResponseAreLimited(t *testing.T) {
 	g := NewWithT(t)
-	p, now := newExchangeLog[balance.PartPlacement](maxStoredPlacements), time.Unix(1_800_000_000, 0)
-	for i := range uint64(3 * maxRecordsPerResponse) {
+	p, now := newExchangeLog[balance.PartPlacement](maxStoredPlacements, maxPlacementsPerResponse), time.Unix(1_800_000_000, 0)
+	for i := range uint64(3 * maxPlacementsPerResponse) {
 		p.add(now, "e", []balance.PartPlacement{{Endpoint: 1, Part: i}})
 	}
 	got, cursor := p.since(ExchangeCursor{}, "f")
-	g.Expect(got).To(HaveLen(maxRecordsPerResponse))
-	g.Expect(got[maxRecordsPerResponse-1].Part).To(Equal(uint64(3*maxRecordsPerResponse-1)), "the newest are sent")
+	g.Expect(got).To(HaveLen(maxPlacementsPerResponse))
+	g.Expect(got[maxPlacementsPerResponse-1].Part).To(Equal(uint64(3*maxPlacementsPerResponse-1)), "the newest are sent")
 	got, _ = p.since(cursor, "f")
 	g.Expect(got).To(BeEmpty())
 }
@@ -457,7 +457,7 @@
 		for i := range engines {
 			loads[balance.EndpointKeyOf(fmt.Sprint("i-", i))] = balance.InFlightLoad{Running: 12, Waiting: 3, PrefillTokens: 9000, UrgentRequests: 6, RecentPrefillTokens: 12000, PromptTokens: 90000}
 		}
-		placed := make([]balance.PartPlacement, maxRecordsPerResponse)
+		placed := make([]balance.PartPlacement, maxPlacementsPerResponse)
 		for i := range placed {
 			placed[i] = balance.PartPlacement{Endpoint: balance.EndpointKey(i), Part: uint64(i)}
 		}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -76,7 +76,7 @@
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{entries: map[string]entryLoad{}, peers: map[string]peerLoad{}, placements: newExchangeLog[balance.PartPlacement](maxStoredPlacements), entryTTL: minEntryLoadTTL}
+	return &loadTable{entries: map[string]entryLoad{}, peers: map[string]peerLoad{}, placements: newExchangeLog[balance.PartPlacement](maxStoredPlacements, maxPlacementsPerResponse), entryTTL: minEntryLoadTTL}
 }
 
 // recordEntry stores the report of an entry: its load in flight and new placements.
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -21,7 +21,7 @@
 	maxQuarantine   = 24 * time.Hour
 )
 
-// quarantineKeeper decides on a control host which prompt parts are kept from endpoints. All
+// quarantineKeeper decides on a control host which prompt parts and requests are kept from endpoints. All
 // control hosts get the outcomes of all entries' attempts. A verdict holds at once for the
 // entries that watch this host; the log stores it for the other hosts and for restarts.
 // The Server's lock guards it.
@@ -33,7 +33,7 @@
 }
 
 func newQuarantineKeeper() *quarantineKeeper {
-	return &quarantineKeeper{table: quarantine.New(), outcomes: newExchangeLog[outcomeRecord](maxStoredOutcomes),
+	return &quarantineKeeper{table: quarantine.New(), outcomes: newExchangeLog[outcomeRecord](maxStoredOutcomes, maxOutcomesPerResponse),
 		unstored: map[uint64]document.QuarantineChange{}, since: map[uint64]time.Time{}}
 }
 
@@ -44,21 +44,26 @@
 	var records []outcomeRecord
 	for _, b := range o.Broken {
 		records = append(records, outcomeRecord{broken: &b})
-		for _, part := range k.table.AddBroken(b, own) {
-			records = append(records, outcomeRecord{served: ServedPart{Part: part, SentAt: k.table.LastServed(part)}})
+		for _, key := range k.table.AddBroken(b, own) {
+			records = append(records, outcomeRecord{served: &ServedKey{Key: key, SentAt: k.table.LastServed(key)}})
+		}
+	}
+	for _, r := range o.Responses {
+		if k.table.AddResponse(r.Endpoint, r.SentAt) {
+			records = append(records, outcomeRecord{response: &r})
 		}
 	}
 	for _, s := range o.Served {
-		if !k.table.AddServed(s.Part, s.SentAt) {
+		if !k.table.AddServed(s.Key, s.SentAt) {
 			continue
 		}
-		records = append(records, outcomeRecord{served: s})
-		if _, quarantined := k.since[s.Part]; quarantined {
-			k.unstored[s.Part] = document.Exonerate
+		records = append(records, outcomeRecord{served: &s})
+		if _, quarantined := k.since[s.Key]; quarantined {
+			k.unstored[s.Key] = document.Exonerate
 		}
 	}
-	if own {
-		k.table.CountServed(now, o.ServedAttempts)
+	for service, attempts := range o.ServedAttempts {
+		k.table.CountServed(now, service, attempts)
 	}
 	k.outcomes.add(now, entry, records)
 }
@@ -158,7 +163,11 @@
 		}
 		s.mu.Unlock()
 		for _, part := range added {
-			s.logger.Warn("prompt part quarantined", "part", strconv.FormatUint(part, 16))
+			if quarantine.IsRequest(part) {
+				s.logger.Warn("request quarantined", "fingerprint", strconv.FormatUint(part, 16))
+			} else {
+				s.logger.Warn("prompt part quarantined", "part", strconv.FormatUint(part, 16))
+			}
 		}
 		s.storeQuarantine(ctx, changes)
 	})
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -26,12 +26,12 @@
 	g := NewWithT(t)
 	for i, reporter := range reporters {
 		g.Eventually(func() error {
-			_, err := reporter.ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Broken: []quarantine.BrokenAttempt{brokenAttempt(uint64(i))}, ServedAttempts: 200}})
+			_, err := reporter.ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Broken: []quarantine.BrokenAttempt{brokenAttempt(uint64(i))}, ServedAttempts: map[string]int{"": 200}}})
 			return err
 		}, "3s").Should(Succeed())
 		time.Sleep(50 * time.Millisecond)
 	}
-	_, err := reporters[0].ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Served: []ServedPart{{Part: 1, SentAt: time.Now()}}}})
+	_, err := reporters[0].ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Served: []ServedKey{{Key: 1, SentAt: time.Now()}}}})
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
@@ -84,7 +84,7 @@
 		defer close(done)
 		for ctx.Err() == nil {
 			for _, f := range reporters {
-				_, _ = f.ExchangeLoad(ctx, LoadReport{Outcomes: AttemptOutcomes{ServedAttempts: 10}})
+				_, _ = f.ExchangeLoad(ctx, LoadReport{Outcomes: AttemptOutcomes{ServedAttempts: map[string]int{"": 10}}})
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -100,7 +100,7 @@
 	g.Eventually(func() int { return f.Status().LiveHostCount }, "3s").Should(Equal(1))
 	reportCrashes(t, f, f, f)
 	g.Eventually(c.quarantine, "3s").Should(Equal(map[uint64]bool{crashingPart: true}))
-	_, err := f.ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Served: []ServedPart{{Part: crashingPart, SentAt: time.Now()}}}})
+	_, err := f.ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Served: []ServedKey{{Key: crashingPart, SentAt: time.Now()}}}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(c.quarantine, "3s").Should(BeEmpty())
 	stored := func() []document.QuarantinedPart { parts, _ := host.stateMachine.Quarantined(); return parts }
@@ -154,7 +154,7 @@
 	stored[0].Active = false
 	changes, _ = k.decide(later, stored)
 	g.Expect(changes).To(BeEmpty())
-	k.add(later, "e", AttemptOutcomes{ServedAttempts: 100, Broken: []quarantine.BrokenAttempt{{Endpoint: 1, SentAt: later, BrokenAt: later, HasHead: true, Parts: []uint64{crashingPart}}}})
+	k.add(later, "e", AttemptOutcomes{ServedAttempts: map[string]int{"": 100}, Broken: []quarantine.BrokenAttempt{{Endpoint: 1, SentAt: later, BrokenAt: later, HasHead: true, Parts: []uint64{crashingPart}}}})
 	changes, added := k.decide(later.Add(time.Second), stored)
 	g.Expect(added).To(Equal([]uint64{crashingPart}))
 	g.Expect(changes).To(Equal(map[uint64]document.QuarantineChange{crashingPart: document.Quarantine}))
@@ -167,8 +167,30 @@
 	var o AttemptOutcomes
 	now := time.Now()
 	for i := range uint64(20) { // ten prompts of three parts, exchanged once a second
-		o.Served = append(o.Served, ServedPart{Part: i << 40, SentAt: now.Add(-time.Duration(i) * 50 * time.Millisecond)})
+		o.Served = append(o.Served, ServedKey{Key: i << 40, SentAt: now.Add(-time.Duration(i) * 50 * time.Millisecond)})
 	}
-	o.ServedAttempts = 10
+	o.ServedAttempts = map[string]int{"service": 10}
 	g.Expect(proto.Size(outcomesToProto(now, o))).To(BeNumerically("<", 500))
 }
+
+// Guards against breaks that are taken for crashes by a control host whose entries did not see that
+// the endpoint goes on, and against a popular request that is condemned where few entries saw it served.
+func TestControlHostsPassOnWhatClearsARequest(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	request := quarantine.RequestKey(7)
+	broken := quarantine.BrokenAttempt{Endpoint: 1, SentAt: now, BrokenAt: now.Add(30 * time.Millisecond), Request: request, Service: "s"}
+	k := newQuarantineKeeper()
+	k.add(now, "e1", AttemptOutcomes{Served: []ServedKey{{Key: request, SentAt: now.Add(-time.Second)}}})
+	k.add(now, "e1", AttemptOutcomes{Broken: []quarantine.BrokenAttempt{broken}})
+	response := Response{Endpoint: 1, SentAt: now.Add(time.Second)}
+	k.add(now, "e2", AttemptOutcomes{Responses: []Response{response}})
+	records, _ := k.outcomes.since(ExchangeCursor{}, "")
+	passed := outcomesFromProto(now, outcomesToProto(now, outcomesOf(records)))
+	g.Expect(passed.Broken).To(HaveLen(1))
+	g.Expect(passed.Broken[0].Request).To(Equal(request))
+	g.Expect(passed.Broken[0].Service).To(Equal("s"))
+	g.Expect(passed.Served).To(Equal([]ServedKey{{Key: request, SentAt: now.Add(-time.Second)}}))
+	g.Expect(passed.Responses).To(HaveLen(1))
+	g.Expect(passed.Responses[0].Endpoint).To(Equal(uint64(1)))
+}
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -59,7 +59,7 @@
 type activeRequest struct {
 	*Router
 	request             *Request
-	fingerprint         uint64 // of the request
+	fingerprint         uint64 // of the request, its key in package quarantine
 	writer              http.ResponseWriter
 	attempts            retry.Attempts
 	triedEndpoints      []string    // IDs; guarded by Router.mu
@@ -201,6 +201,7 @@
 	defer x.Close()
 	a.headReceived = true
 	a.confirmServed()
+	a.recordResponding()
 	metadata := a.options.Dialect.DecodeResponse(x.Response)
 	a.reportedLoad = metadata.Load
 	a.applyNotices(x, metadata)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,7 +91,7 @@
 const (
 	NoEndpoint         Reason = "no_endpoint"     // no endpoint is known or has capacity
 	ExpiredBeforeStart Reason = "not_started"     // the deadline passed before any endpoint ran it
-	Quarantined        Reason = "quarantined"     // a part of its prompt crashes endpoints
+	Quarantined        Reason = "quarantined"     // it, or a part of its prompt, crashes endpoints
 	Unavailable        Reason = "unavailable"     // this entry host can't serve it
 	OutcomeUnknown     Reason = "outcome_unknown" // an endpoint may have run it
 	TimedOut           Reason = "timed_out"       // the deadline passed after an endpoint may have run it
@@ -116,18 +116,20 @@
 	options Options
 	client  *upstream.Client
 
-	quarantined atomic.Pointer[map[uint64]bool] // prompt parts that are kept from endpoints
+	quarantined atomic.Pointer[map[uint64]bool] // keys of prompt parts and requests that are kept from endpoints
 
 	mu          sync.Mutex // guards table, options.RetryBudget, and the fields below
 	outcomes    AttemptOutcomes
 	unconfirmed map[uint64][]unconfirmedResponse // by the endpoint's incarnation
+	brokenAt    map[uint64]time.Time             // by the endpoint's incarnation: when an attempt broke last
+	seen        fingerprintMemory                // of requests that were served or broken off
 	table       *balance.Table
 	maxRequests map[string]int // by service: concurrent requests of this router at each endpoint, 0 for no limit
 }
 
 // New returns a router without endpoints.
 func New(o Options) *Router {
-	return &Router{options: o, client: upstream.New(), table: balance.New(o.Balance), maxRequests: map[string]int{}, unconfirmed: map[uint64][]unconfirmedResponse{}}
+	return &Router{options: o, client: upstream.New(), table: balance.New(o.Balance), maxRequests: map[string]int{}, unconfirmed: map[uint64][]unconfirmedResponse{}, brokenAt: map[uint64]time.Time{}}
 }
 
 // UpdateEndpoints applies changes of the directory.
@@ -236,7 +238,7 @@
 // CloseUnusedConnections closes idle connections that have expired or whose address is no
 // longer in the directory.
 func (rt *Router) CloseUnusedConnections(now time.Time) {
-	rt.expireUnconfirmed(now)
+	rt.expireOutcomes(now)
 	rt.mu.Lock()
 	addresses := rt.table.Addresses()
 	rt.mu.Unlock()
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -2,8 +2,8 @@
 
 import (
 	"io"
+	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,18 +17,22 @@
 	// can serve the prompt.
 	servedStreamTime  = time.Second
 	maxBrokenAttempts = 256
-	maxServedParts    = 2048
+	maxServedKeys     = 2048
 	// maxUnconfirmed limits the responses of one endpoint that wait for unconfirmedTTL at most.
 	maxUnconfirmed = 64
 	unconfirmedTTL = 10 * time.Second
+	// brokenEndpointTTL is how long after a broken attempt the responses of its endpoint are reported.
+	brokenEndpointTTL  = 10 * time.Second
+	maxBrokenEndpoints = 1024
 )
 
-// AttemptOutcomes are the outcomes of attempts with prompt parts. The last part of a prompt is
-// left out: it belongs to one request or session.
+// AttemptOutcomes are the outcomes of attempts. The last part of a prompt is left out: it belongs to
+// one request or session.
 type AttemptOutcomes struct {
 	Broken         []quarantine.BrokenAttempt
-	ServedParts    map[uint64]time.Time // when the newest served attempt with the part was sent
-	ServedAttempts int
+	Served         map[uint64]time.Time // by key of a prompt part or request: when the newest served attempt was sent
+	ServedAttempts map[string]int       // by service
+	Responses      map[uint64]time.Time // by an endpoint's incarnation that broke attempts off: when the newest later one was sent to which it responded
 }
 
 // TakeOutcomes returns and clears the outcomes since the last call.
@@ -47,16 +51,20 @@
 	return len(rt.outcomes.Broken) > 0
 }
 
-// SetQuarantinedParts replaces the prompt parts that are kept from endpoints.
-func (rt *Router) SetQuarantinedParts(parts map[uint64]bool) { rt.quarantined.Store(&parts) }
+// SetQuarantinedParts replaces the keys of the prompt parts and requests that are kept from endpoints.
+func (rt *Router) SetQuarantinedParts(keys map[uint64]bool) { rt.quarantined.Store(&keys) }
 
-// QuarantinedError reports that a request has a prompt part that is kept from endpoints.
+// QuarantinedError reports that a request, or a part of its prompt, is kept from endpoints.
 type QuarantinedError struct {
-	Part uint64
+	Key uint64 // of the part or request
 }
 
 func (e *QuarantinedError) Error() string {
-	return "prompt part " + strconv.FormatUint(e.Part, 16) + " is quarantined: endpoints crashed over it"
+	kind := "prompt part "
+	if quarantine.IsRequest(e.Key) {
+		kind = "request "
+	}
+	return kind + formatKey(e.Key) + " is quarantined: endpoints crashed over it"
 }
 
 // quarantineRetryAfter is the Retry-After of a request with a quarantined part. Quarantines
@@ -69,43 +77,46 @@
 	if quarantined == nil || len(*quarantined) == 0 {
 		return nil
 	}
-	for _, part := range a.sharedParts() {
-		if (*quarantined)[part] {
-			return errors.WithStack(&QuarantinedError{Part: part})
+	for _, key := range a.quarantineKeys() {
+		if (*quarantined)[key] {
+			return errors.WithStack(&QuarantinedError{Key: key})
 		}
 	}
 	return nil
 }
 
-// sharedParts returns the IDs of the prompt parts that other requests may share: all but the
+// sharedParts returns the keys of the prompt parts that other requests may share: all but the
 // last one.
 func (a *activeRequest) sharedParts() []uint64 {
 	var shared []uint64
 	for i := range max(len(a.request.PromptParts)-1, 0) {
-		shared = append(shared, a.request.PromptParts[i].ID)
+		shared = append(shared, quarantine.PartKey(a.request.PromptParts[i].ID))
 	}
 	return shared
 }
 
+// quarantineKeys returns the keys of the shared prompt parts and of the request.
+func (a *activeRequest) quarantineKeys() []uint64 { return append(a.sharedParts(), a.fingerprint) }
+
 // unconfirmedResponse ended with its connection, and looked complete: its endpoint may have
 // crashed then. A later response of the same incarnation shows that it had not.
 type unconfirmedResponse struct {
-	parts   []uint64
+	service string
+	keys    []uint64
 	sentAt  time.Time
 	endedAt time.Time
 }
 
 // recordUndelimited records a response that looked complete and ended with its connection.
 func (a *activeRequest) recordUndelimited(now time.Time) {
-	parts := a.sharedParts()
-	if a.servedRecorded || len(parts) == 0 {
+	if a.servedRecorded {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	waiting := a.unconfirmed[a.choice.Incarnation]
 	if len(waiting) < maxUnconfirmed {
-		a.unconfirmed[a.choice.Incarnation] = append(waiting, unconfirmedResponse{parts: parts, sentAt: a.sentAt, endedAt: now})
+		a.unconfirmed[a.choice.Incarnation] = append(waiting, unconfirmedResponse{service: a.request.Service, keys: a.quarantineKeys(), sentAt: a.sentAt, endedAt: now})
 	}
 }
 
@@ -121,7 +132,7 @@
 	var left []unconfirmedResponse
 	for _, u := range waiting {
 		if a.sentAt.After(u.endedAt) {
-			a.outcomes.addServed(u.parts, u.sentAt)
+			a.addServed(u.service, u.keys, u.sentAt)
 		} else {
 			left = append(left, u)
 		}
@@ -138,36 +149,58 @@
 	rt.unconfirmed[incarnation] = waiting
 }
 
-// expireUnconfirmed drops responses of endpoints that have not responded since.
-func (rt *Router) expireUnconfirmed(now time.Time) {
+// recordResponding records that an endpoint responds after it broke off an earlier attempt of this
+// entry: it has not crashed then.
+func (a *activeRequest) recordResponding() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if brokenAt, known := a.brokenAt[a.choice.Incarnation]; !known || !a.sentAt.After(brokenAt) {
+		return
+	}
+	if a.outcomes.Responses == nil {
+		a.outcomes.Responses = map[uint64]time.Time{}
+	}
+	if a.sentAt.After(a.outcomes.Responses[a.choice.Incarnation]) {
+		a.outcomes.Responses[a.choice.Incarnation] = a.sentAt
+	}
+}
+
+// expireOutcomes drops responses of endpoints that have not responded since, and endpoints that
+// broke their last attempt long ago.
+func (rt *Router) expireOutcomes(now time.Time) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	for incarnation, waiting := range rt.unconfirmed {
 		rt.setUnconfirmed(incarnation, slices.DeleteFunc(waiting, func(u unconfirmedResponse) bool { return now.Sub(u.endedAt) > unconfirmedTTL }))
 	}
+	maps.DeleteFunc(rt.brokenAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > brokenEndpointTTL })
 }
 
-// recordServed records once for each attempt that its endpoint has served the prompt.
+// recordServed records once for each attempt that its endpoint has served the request.
 func (a *activeRequest) recordServed() {
-	parts := a.sharedParts()
-	if a.servedRecorded || len(parts) == 0 {
+	if a.servedRecorded {
 		return
 	}
 	a.servedRecorded = true
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.outcomes.addServed(parts, a.sentAt)
+	a.addServed(a.request.Service, a.quarantineKeys(), a.sentAt)
 }
 
-// addServed adds a served attempt that was sent at a time.
-func (o *AttemptOutcomes) addServed(parts []uint64, sentAt time.Time) {
-	o.ServedAttempts++
-	if o.ServedParts == nil {
-		o.ServedParts = map[uint64]time.Time{}
+// addServed adds a served attempt that was sent at a time. A request that was not seen before is
+// left out: it is under no suspicion, and few requests come again. The caller holds the lock.
+func (rt *Router) addServed(service string, keys []uint64, sentAt time.Time) {
+	o := &rt.outcomes
+	if o.Served == nil {
+		o.Served, o.ServedAttempts = map[uint64]time.Time{}, map[string]int{}
 	}
-	for _, part := range parts {
-		if newest, known := o.ServedParts[part]; sentAt.After(newest) && (known || len(o.ServedParts) < maxServedParts) {
-			o.ServedParts[part] = sentAt
+	o.ServedAttempts[service]++
+	for _, key := range keys {
+		if quarantine.IsRequest(key) && !rt.seen.add(key) {
+			continue
+		}
+		if newest, known := o.Served[key]; sentAt.After(newest) && (known || len(o.Served) < maxServedKeys) {
+			o.Served[key] = sentAt
 		}
 	}
 }
@@ -175,16 +208,19 @@
 // recordBroken records an attempt whose endpoint ended the connection early. What has been
 // served for long enough, or was spoilt otherwise, is no evidence of a crash.
 func (a *activeRequest) recordBroken(now time.Time, err error) {
-	parts := a.sharedParts()
-	if a.servedRecorded || len(parts) == 0 || !isConnectionLoss(err) {
+	if a.servedRecorded || !isConnectionLoss(err) {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.seen.add(a.fingerprint)
 	delete(a.unconfirmed, a.choice.Incarnation)
+	if _, known := a.brokenAt[a.choice.Incarnation]; known || len(a.brokenAt) < maxBrokenEndpoints {
+		a.brokenAt[a.choice.Incarnation] = now
+	}
 	if len(a.outcomes.Broken) < maxBrokenAttempts {
 		a.outcomes.Broken = append(a.outcomes.Broken, quarantine.BrokenAttempt{Endpoint: a.choice.Incarnation,
-			SentAt: a.sentAt, BrokenAt: now, HasHead: a.headReceived, Parts: parts})
+			SentAt: a.sentAt, BrokenAt: now, HasHead: a.headReceived, Parts: a.sharedParts(), Request: a.fingerprint, Service: a.request.Service})
 	}
 }
 
--- a/internal/forward/outcomes_test.go
+++ b/internal/forward/outcomes_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/quarantine"
 )
 
 const streamHead = "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: e0\r\nContent-Type: text/event-stream\r\n"
@@ -74,8 +76,8 @@
 			}
 			g.Expect(err == nil).To(Equal(c.complete), "%v", err)
 			o := f.TakeOutcomes()
-			g.Expect(o.ServedAttempts).To(Equal(c.served))
-			g.Expect(o.ServedParts).To(HaveLen(2 * c.served))
+			g.Expect(o.ServedAttempts["s"]).To(Equal(c.served))
+			g.Expect(o.Served).To(HaveLen(2 * c.served))
 			g.Expect(o.Broken).To(HaveLen(c.broken))
 			for _, b := range o.Broken {
 				g.Expect(b.Parts).To(Equal([]uint64{1, 2}), "not the request's own part")
@@ -96,12 +98,12 @@
 		_ = f.Serve(context.Background(), httptest.NewRecorder(), promptRequest(catalog.EventStream, false))
 		return f.TakeOutcomes()
 	}
-	g.Expect(serve().ServedAttempts).To(BeZero(), "the endpoint may have crashed")
+	g.Expect(serve().ServedAttempts["s"]).To(BeZero(), "the endpoint may have crashed")
 	o := serve()
-	g.Expect(o.ServedAttempts).To(Equal(1), "it had not: it has responded again")
-	g.Expect(o.ServedParts).To(HaveLen(2))
+	g.Expect(o.ServedAttempts["s"]).To(Equal(1), "it had not: it has responded again")
+	g.Expect(o.Served).To(HaveLen(2))
 	o = serve()
-	g.Expect(o.ServedAttempts).To(Equal(1))
+	g.Expect(o.ServedAttempts["s"]).To(Equal(1))
 	g.Expect(o.Broken).To(HaveLen(1))
 	g.Expect(f.unconfirmed).To(BeEmpty(), "nothing waits for an endpoint that has crashed")
 }
@@ -149,3 +151,88 @@
 		})
 	}
 }
+
+// Guards against a request without a prompt whose broken attempts are no evidence.
+func TestBrokenAttemptNamesItsRequest(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, sendRaw("", false))
+	r := newRequest(catalog.Idempotent, false)
+	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), r)).NotTo(Succeed())
+	o := f.TakeOutcomes()
+	g.Expect(o.Broken).To(HaveLen(1))
+	g.Expect(o.Broken[0].Request).To(Equal(fingerprint(r)))
+	g.Expect(o.Broken[0].Service).To(Equal("s"))
+	g.Expect(quarantine.IsRequest(o.Broken[0].Request)).To(BeTrue())
+}
+
+// Guards against a request that crashes endpoints and is sent again under a new ID, and against
+// refusals of requests that differ from it.
+func TestQuarantinedRequestIsKeptFromEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, echoBody)
+	r := newRequest(catalog.Idempotent, false)
+	f.SetQuarantinedParts(map[uint64]bool{fingerprint(r): true})
+	r.ID = "r2"
+	var requestErr *RequestError
+	g.Expect(errors.As(f.Serve(context.Background(), httptest.NewRecorder(), r), &requestErr)).To(BeTrue())
+	g.Expect(requestErr.Reason).To(Equal(Quarantined))
+	g.Expect(requestErr.NotRun()).To(BeTrue())
+	g.Expect(f.requests()).To(BeEmpty())
+	for _, change := range []func(r *Request){
+		func(r *Request) { r.Workspace = "other" },
+		func(r *Request) { r.Body = []byte("other") },
+	} {
+		sound := newRequest(catalog.Idempotent, false)
+		change(sound)
+		g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), sound)).To(Succeed())
+	}
+}
+
+// Guards against callers that name requests of others by the ID of a prompt part.
+func TestPromptPartNamesNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, sendRaw("", false))
+	r := promptRequest(catalog.Idempotent, false)
+	r.PromptParts[0].ID = fingerprint(newRequest(catalog.Idempotent, false))
+	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), r)).NotTo(Succeed())
+	o := f.TakeOutcomes()
+	g.Expect(o.Broken).To(HaveLen(1))
+	g.Expect(o.Broken[0].Parts).NotTo(ContainElement(r.PromptParts[0].ID))
+}
+
+// Requests that come once are not reported as served; those that come again, or broke, are.
+func TestServedRequestIsReportedIfItWasSeenBefore(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, echoBody)
+	serve := func(r *Request) AttemptOutcomes {
+		g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), r)).To(Succeed())
+		return f.TakeOutcomes()
+	}
+	r := newRequest(catalog.Idempotent, false)
+	g.Expect(serve(r).Served).To(BeEmpty())
+	for i := range maxRememberedFingerprints - 1 {
+		f.seen.add(uint64(i))
+	}
+	g.Expect(serve(newRequest(catalog.Idempotent, false)).Served).To(HaveKey(fingerprint(r)))
+	for i := range 2 * maxRememberedFingerprints {
+		f.seen.add(uint64(i))
+	}
+	g.Expect(serve(newRequest(catalog.Idempotent, false)).Served).To(BeEmpty(), "the memory is bounded")
+}
+
+// An endpoint that broke off an attempt and responds to a later one did not crash.
+func TestResponseAfterABreakIsReported(t *testing.T) {
+	g := NewWithT(t)
+	handlers := []endpointHandler{sendRaw("", false), echoBody, echoBody}
+	next := 0
+	f := newFleet(t, func(w http.ResponseWriter, r *http.Request) { next++; handlers[next-1](w, r) })
+	serve := func() AttemptOutcomes {
+		_ = f.Serve(context.Background(), httptest.NewRecorder(), newRequest(catalog.Idempotent, false))
+		return f.TakeOutcomes()
+	}
+	broken := serve().Broken
+	g.Expect(broken).To(HaveLen(1))
+	g.Expect(serve().Responses).To(HaveKey(broken[0].Endpoint))
+	f.expireOutcomes(broken[0].BrokenAt.Add(brokenEndpointTTL + time.Second))
+	g.Expect(serve().Responses).To(BeEmpty())
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,7 +34,7 @@
 	Revision         = "revision"         // gauge, newest configuration revision applied
 	RevisionAgeMS    = "revision.age_ms"  // gauge, milliseconds since control last confirmed the revision
 	Endpoints        = "endpoints"        // gauge, endpoints in the directory
-	QuarantinedParts = "quarantine.parts" // gauge, prompt parts that are kept from endpoints
+	QuarantinedParts = "quarantine.parts" // gauge, prompt parts and requests that are kept from endpoints
 	LiveControlHosts = "control.hosts"    // gauge, control hosts with a live connection
 	UpstreamDials    = "upstream.dials"   // gauge, connections opened to endpoints since the start
 	UpstreamReuses   = "upstream.reuses"  // gauge, requests sent on reused connections since the start
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -34,16 +34,21 @@
 	ownFraction float64 // of the reports that come from own entries
 	generation  int
 	endpoints   []simulatedEndpoint
+	restart     time.Duration          // time after a crash until the next incarnation is up
+	onBroken    func(simulatedAttempt) // nil for none
 }
 
 type simulatedEndpoint struct {
 	key      uint64
 	upAt     time.Duration
+	spoilt   bool // a response of it was broken off
 	inFlight []simulatedAttempt
 }
 
 type simulatedAttempt struct {
 	parts       []uint64
+	request     uint64
+	tries       int
 	sentAt      time.Duration
 	headAt      time.Duration
 	endsAt      time.Duration
@@ -55,11 +60,12 @@
 	arrivesAt time.Duration
 	broken    *BrokenAttempt
 	served    []uint64
+	endpoint  uint64    // that responded, 0 where it broke off no attempt before
 	sentAt    time.Time // of what was served
 }
 
 func newSimulation(seed uint64, endpoints int) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 0)), table: New(), quarantined: map[uint64]bool{}, ownFraction: 1}
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 0)), table: New(), quarantined: map[uint64]bool{}, ownFraction: 1, restart: 2 * time.Second}
 	for range endpoints {
 		s.generation++
 		s.endpoints = append(s.endpoints, simulatedEndpoint{key: uint64(s.generation)})
@@ -79,10 +85,18 @@
 func (s *simulation) crash(i int) {
 	e := &s.endpoints[i]
 	for _, a := range e.inFlight {
-		s.report(report{broken: &BrokenAttempt{Endpoint: e.key, SentAt: after(a.sentAt), BrokenAt: after(s.now), HasHead: s.now >= a.headAt, Parts: a.parts}})
+		s.breakOff(e, a, s.now >= a.headAt)
 	}
 	s.generation++
-	s.endpoints[i] = simulatedEndpoint{key: uint64(s.generation), upAt: s.now + 2*time.Second}
+	s.endpoints[i] = simulatedEndpoint{key: uint64(s.generation), upAt: s.now + s.restart}
+}
+
+// breakOff reports a broken attempt.
+func (s *simulation) breakOff(e *simulatedEndpoint, a simulatedAttempt, hasHead bool) {
+	s.report(report{broken: &BrokenAttempt{Endpoint: e.key, SentAt: after(a.sentAt), BrokenAt: after(s.now), HasHead: hasHead, Parts: a.parts, Request: a.request}})
+	if s.onBroken != nil {
+		s.onBroken(a)
+	}
 }
 
 // send adds an attempt at a random endpoint that is up. It reports whether it was sent.
@@ -90,13 +104,19 @@
 	if slices.ContainsFunc(parts, func(p uint64) bool { return s.quarantined[p] }) {
 		return false
 	}
+	return s.sendAttempt(simulatedAttempt{parts: parts, crashesPart: crashing}, time.Duration(20+s.random.IntN(150))*time.Millisecond, 50+s.random.IntN(600))
+}
+
+// sendAttempt adds an attempt that gets a head after a time, and ends up to restMS later.
+func (s *simulation) sendAttempt(a simulatedAttempt, headAfter time.Duration, restMS int) bool {
 	for range 4 * len(s.endpoints) {
 		e := &s.endpoints[s.random.IntN(len(s.endpoints))]
 		if s.now < e.upAt {
 			continue
 		}
-		head := s.now + time.Duration(20+s.random.IntN(150))*time.Millisecond
-		e.inFlight = append(e.inFlight, simulatedAttempt{parts: parts, sentAt: s.now, headAt: head, endsAt: head + time.Duration(50+s.random.IntN(600))*time.Millisecond, crashesPart: crashing})
+		a.sentAt, a.headAt = s.now, s.now+headAfter
+		a.endsAt = a.headAt + time.Duration(restMS)*time.Millisecond
+		e.inFlight = append(e.inFlight, a)
 		return true
 	}
 	return false
@@ -110,9 +130,16 @@
 		var left []simulatedAttempt
 		crashes := false
 		for _, a := range e.inFlight {
-			crashes = crashes || a.crashesPart && s.now > a.headAt+80*time.Millisecond
+			crashes = crashes || a.crashesPart && s.now > min(a.headAt+80*time.Millisecond, a.endsAt)
 			if !a.crashesPart && s.now >= a.endsAt {
-				s.report(report{served: a.parts, sentAt: after(a.sentAt)})
+				r := report{served: a.parts, sentAt: after(a.sentAt)}
+				if a.request != 0 {
+					r.served = []uint64{a.request}
+				}
+				if e.spoilt {
+					r.endpoint = e.key
+				}
+				s.report(r)
 				continue
 			}
 			left = append(left, a)
@@ -134,8 +161,9 @@
 			for _, part := range r.served {
 				s.table.AddServed(part, r.sentAt)
 			}
+			s.table.AddResponse(r.endpoint, r.sentAt)
 			if own {
-				s.table.CountServed(after(s.now), 1)
+				s.table.CountServed(after(s.now), "", 1)
 			}
 		}
 		return true
@@ -164,7 +192,8 @@
 		e.inFlight = slices.DeleteFunc(e.inFlight, func(a simulatedAttempt) bool {
 			spoilt := !a.crashesPart && s.now+10*time.Millisecond >= a.endsAt && s.random.Float64() < share
 			if spoilt {
-				s.report(report{broken: &BrokenAttempt{Endpoint: e.key, SentAt: after(a.sentAt), BrokenAt: after(s.now), HasHead: true, Parts: a.parts}})
+				s.breakOff(e, a, true)
+				e.spoilt = a.request != 0
 			}
 			return spoilt
 		})
@@ -270,7 +299,7 @@
 	table := New()
 	for i := range 3 {
 		at := after(time.Duration(i) * time.Second)
-		table.CountServed(at, 100)
+		table.CountServed(at, "", 100)
 		table.AddBroken(BrokenAttempt{Endpoint: uint64(i), SentAt: at, BrokenAt: at.Add(100 * time.Millisecond), HasHead: true, Parts: []uint64{1, crashing}}, true)
 		table.AddBroken(BrokenAttempt{Endpoint: uint64(i), SentAt: at, BrokenAt: at.Add(100 * time.Millisecond), Parts: []uint64{1, 7}}, true)
 	}
@@ -286,7 +315,7 @@
 func TestReleasedPartIsQuarantinedAtItsFirstCrash(t *testing.T) {
 	g := NewWithT(t)
 	table := New()
-	table.CountServed(start, 100)
+	table.CountServed(start, "", 100)
 	table.AddBroken(BrokenAttempt{Endpoint: 1, SentAt: start, BrokenAt: after(100 * time.Millisecond), HasHead: true, Parts: []uint64{crashing}}, true)
 	now := after(time.Second)
 	g.Expect(table.Decide(now, none, none)).To(BeEmpty())
@@ -302,7 +331,7 @@
 		events := rapid.Permutation(slices.Repeat([]int{0, 1}, breaks)).Draw(t, "order")
 		for i, event := range events {
 			at := after(time.Duration(i) * 300 * time.Millisecond)
-			table.CountServed(at, 20)
+			table.CountServed(at, "", 20)
 			if event == 1 {
 				table.AddServed(5, after(time.Hour))
 			}
@@ -320,7 +349,7 @@
 func TestAttemptsSentBeforeProveNothing(t *testing.T) {
 	g := NewWithT(t)
 	table := New()
-	table.CountServed(after(time.Second), 300)
+	table.CountServed(after(time.Second), "", 300)
 	for i := range 3 {
 		at := after(time.Duration(i+1) * time.Second)
 		table.AddBroken(BrokenAttempt{Endpoint: uint64(i), SentAt: at, BrokenAt: at.Add(100 * time.Millisecond), HasHead: true, Parts: []uint64{crashing}}, true)
--- /dev/null
+++ b/internal/quarantine/requests_test.go
@@ -0,0 +1,192 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const crashingRequest uint64 = requestBit | 99
+
+// requestSimulation plays short requests that are repeated: by the entry at once, at another
+// endpoint, and by the caller after 100 ms.
+type requestSimulation struct {
+	*simulation
+	repeats   []repeat
+	lastFresh uint64
+	thirdAt   time.Duration
+	late      int // times that the crashing request was sent later than 3 s after the third crash
+}
+
+type repeat struct {
+	at      time.Duration
+	attempt simulatedAttempt
+}
+
+const maxTries = 4
+
+func newRequestSimulation(seed uint64, endpoints int) *requestSimulation {
+	s := &requestSimulation{simulation: newSimulation(seed, endpoints)}
+	s.restart = 3 * time.Second
+	s.onBroken = func(a simulatedAttempt) {
+		delay := 100 * time.Millisecond
+		if a.tries%2 == 1 {
+			delay = 0
+		}
+		if a.tries < maxTries {
+			s.repeats = append(s.repeats, repeat{at: s.now + delay, attempt: a})
+		}
+	}
+	return s
+}
+
+// fresh returns the key of a request that was not sent before.
+func (s *requestSimulation) fresh() uint64 {
+	s.lastFresh++
+	return requestBit | 1000 + s.lastFresh
+}
+
+func (s *requestSimulation) sendOne(a simulatedAttempt) {
+	if s.quarantined[a.request] {
+		return
+	}
+	a.tries++
+	if s.sendAttempt(a, 30*time.Millisecond, 40) && a.crashesPart && s.thirdAt > 0 && s.now > s.thirdAt+3*time.Second {
+		s.late++
+	}
+}
+
+// sendRequests sends sound requests: mostly new ones, and popular ones.
+func (s *requestSimulation) sendRequests(perSecond float64) {
+	for n := perSecond/100 + s.random.Float64(); n >= 1; n-- {
+		request := s.fresh()
+		if s.random.IntN(4) == 0 {
+			request = requestBit | uint64(200+s.random.IntN(10))
+		}
+		s.sendOne(simulatedAttempt{request: request})
+	}
+}
+
+// advance plays 10 ms.
+func (s *requestSimulation) advance() {
+	pending := s.repeats
+	s.repeats = nil
+	for _, r := range pending {
+		if r.at > s.now {
+			s.repeats = append(s.repeats, r)
+		} else {
+			s.sendOne(r.attempt)
+		}
+	}
+	s.step()
+	if s.crashCount >= 3 && s.thirdAt == 0 {
+		s.thirdAt = s.now
+	}
+}
+
+// Guards against a request that crashes all endpoints of a small service again and again, so that
+// nothing of it is served meanwhile, and against one that goes unseen beside other troubles.
+func TestCrashingRequestIsFound(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		endpoints    int
+		perSecond    float64 // sound requests
+		interval     time.Duration
+		crashedShare float64 // of the endpoints, by another cause every seven seconds
+		spoiltShare  float64 // of the responses of sound requests
+		ownFraction  float64
+	}{
+		{"small service", 3, 40, 300 * time.Millisecond, 0, 0, 1. / 3},
+		{"small service, few others", 3, 6, 300 * time.Millisecond, 0, 0, 1. / 3},
+		{"small service, seldom", 3, 40, 3 * time.Second, 0, 0, 1. / 3},
+		{"many at a time", 5, 40, 20 * time.Millisecond, 0, 0, 1. / 3},
+		{"spoilt responses", 3, 60, 300 * time.Millisecond, 0, 0.05, 1. / 3},
+		{"crashes by another cause", 12, 200, 300 * time.Millisecond, 0.25, 0, 1. / 3},
+		{"many endpoints", 76, 600, 100 * time.Millisecond, 0.2, 0.03, 1. / 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range uint64(8) {
+				s := newRequestSimulation(seed, test.endpoints)
+				s.ownFraction = test.ownFraction
+				for s.now < 15*time.Second+6*test.interval {
+					s.sendRequests(test.perSecond)
+					if s.now > 5*time.Second && s.now%test.interval == 0 {
+						s.sendOne(simulatedAttempt{request: crashingRequest, crashesPart: true})
+					}
+					if s.now%(7*time.Second) == 0 {
+						s.crashSome(test.crashedShare)
+					}
+					s.spoil(test.spoiltShare)
+					s.advance()
+				}
+				g.Expect(s.quarantined).To(Equal(map[uint64]bool{crashingRequest: true}), "seed %d", seed)
+				g.Expect(s.late).To(BeNumerically("<=", 3), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// Guards against crashes by another cause that condemn a request: all endpoints at once or one
+// after the other, in series, in a loop, and endpoints that reset connections and go on.
+func TestCrashesByAnotherCauseCondemnNoRequest(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		endpoints int
+		perSecond float64
+		every     time.Duration // between two mass crashes
+		share     float64
+		apart     time.Duration // one endpoint after the other
+		spoilt    float64
+		restart   time.Duration
+	}{
+		{"small service, all at once", 3, 60, 4 * time.Second, 1, 0, 0, 3 * time.Second},
+		{"small service, in a loop", 3, 60, 3 * time.Second, 1, 0, 0, 2 * time.Second},
+		{"small service, one after the other", 3, 60, 6 * time.Second, 1, 250 * time.Millisecond, 0, 3 * time.Second},
+		{"a quarter, in series", 16, 300, 3 * time.Second, 0.25, 0, 0, 2 * time.Second},
+		{"all, in series", 16, 300, 3 * time.Second, 1, 0, 0, time.Second},
+		{"a half, one after the other", 16, 300, 5 * time.Second, 0.5, 100 * time.Millisecond, 0, 3 * time.Second},
+		{"two in five responses reset", 3, 60, time.Hour, 0, 0, 0.4, 0},
+		{"all of that", 12, 200, 5 * time.Second, 0.5, 50 * time.Millisecond, 0.1, 2 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range uint64(8) {
+				s := newRequestSimulation(seed, test.endpoints)
+				s.restart = test.restart
+				var crashAt []time.Duration
+				for s.now < 60*time.Second {
+					s.sendRequests(test.perSecond)
+					if s.now > 5*time.Second && s.now%test.every == 0 {
+						crashAt = s.planCrashes(test.share, test.apart)
+					}
+					for i, at := range crashAt {
+						if at > 0 && s.now >= at {
+							crashAt[i] = 0
+							s.crash(i)
+						}
+					}
+					if s.now > 5*time.Second {
+						s.spoil(test.spoilt)
+					}
+					s.advance()
+				}
+				g.Expect(s.quarantined).To(BeEmpty(), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// planCrashes returns when each endpoint crashes, 0 for those that don't.
+func (s *requestSimulation) planCrashes(share float64, apart time.Duration) []time.Duration {
+	crashAt := make([]time.Duration, len(s.endpoints))
+	at := s.now
+	for _, i := range s.random.Perm(len(s.endpoints)) {
+		if s.random.Float64() < share {
+			crashAt[i] = at
+			at += apart
+		}
+	}
+	return crashAt
+}
