Log the software version of endpoints and the streams that callers take up

Nothing decides by it yet. Hosts of older builds don't pass versions on; within an incarnation a version is kept.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -121,6 +121,7 @@
 	ID                string
 	Incarnation       uint64 // key of the incarnation, see directory.Endpoint.IncarnationKey
 	Address           string
+	Version           string        // of its software
 	CrossDomain       bool          // in another failure domain
 	Preferred         bool          // the endpoint that entries agree on for the prompt; see preferredEndpoint
 	Cost              time.Duration // estimated cost, by which the candidates were compared
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -210,7 +210,7 @@
 // the cost of a request at an endpoint.
 func (t *Table) estimate(e *endpoint, in *choiceInputs) Choice {
 	now, r := in.now, in.request
-	c := Choice{ID: e.ID, Incarnation: e.incarnation, Address: e.Address, CrossDomain: e.crossDomain, Preferred: e == in.preferred}
+	c := Choice{ID: e.ID, Incarnation: e.incarnation, Address: e.Address, Version: e.Version, CrossDomain: e.crossDomain, Preferred: e == in.preferred}
 	if !e.reportedAt.IsZero() {
 		c.ReportAge = now.Sub(e.reportedAt)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,6 +32,7 @@
 	Service       string
 	Address       string // host:port
 	FailureDomain string
+	Version       string // of its software, "" if not known
 	Slots         int
 	State         State
 	StartedUnixMS int64     // start of the incarnation, in Unix milliseconds
@@ -86,9 +87,10 @@
 	old := d.byID[e.ID]
 	if old != nil {
 		e = resolveDeparture(e, old)
+		changed = d.shareVersion(&e, old)
 	}
 	if old != nil && !supersedes(&e, &old.Endpoint) {
-		return false
+		return changed
 	}
 	if old == nil && len(d.byID) >= MaxEndpoints {
 		return false
@@ -98,7 +100,7 @@
 	}
 	if old != nil && equalAttributes(&e, &old.Endpoint) {
 		old.Endpoint = e
-		return false
+		return changed
 	}
 	d.revision++
 	merged := &record{Endpoint: e, changedRevision: d.revision, firstReportAt: e.LastReportAt}
@@ -109,6 +111,24 @@
 	return true
 }
 
+// shareVersion sets the version of the one of two reports of an incarnation that has none: a
+// departure, or a report through a host that does not know versions. It reports whether the
+// record changed.
+func (d *Directory) shareVersion(e *Endpoint, old *record) (changed bool) {
+	switch {
+	case e.StartedUnixMS != old.StartedUnixMS || e.Version == old.Version:
+		return false
+	case e.Version == "":
+		e.Version = old.Version
+		return false
+	case old.Version != "":
+		return false
+	}
+	d.revision++
+	old.Version, old.changedRevision = e.Version, d.revision
+	return true
+}
+
 // resolveDeparture returns e with the incarnation that a departure without a start time
 // is about. A host that does not know an endpoint reports its departure so. The departure
 // is about an incarnation that reported before it, and not about one that began later.
@@ -163,7 +183,7 @@
 // number and times.
 func equalAttributes(a, b *Endpoint) bool {
 	return a.StartedUnixMS == b.StartedUnixMS && a.State == b.State && a.Service == b.Service && a.Address == b.Address &&
-		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots
+		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && a.Version == b.Version
 }
 
 // MarkGone marks an incarnation of an endpoint as gone, so that its later reports
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -154,3 +154,27 @@
 	// such a restart counts as the old incarnation until the record is removed.
 	g.Expect(stateAfter(report(second, 7, 1), departure, report(first, 1, 12))).To(Equal(Gone))
 }
+
+// Guards against a version that is lost where reports pass hosts that don't know versions, in
+// whatever order they arrive.
+func TestVersionIsKeptWithinAnIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	with := Endpoint{ID: "i", Service: "s", Address: "a:1", State: Ready, StartedUnixMS: 1, Sequence: 1, Version: "v1"}
+	without := with
+	without.Sequence, without.Version = 2, ""
+	for _, reports := range [][]Endpoint{{with, without}, {without, with}} {
+		d := New()
+		for _, r := range reports {
+			d.MergeReport(r)
+		}
+		merged, _ := d.Get("i")
+		g.Expect(merged.Version).To(Equal("v1"))
+		g.Expect(merged.Sequence).To(Equal(uint64(2)))
+	}
+	d := New()
+	d.MergeReport(with)
+	without.StartedUnixMS = 2
+	d.MergeReport(without)
+	restarted, _ := d.Get("i")
+	g.Expect(restarted.Version).To(BeEmpty(), "another incarnation may have another version")
+}
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -13,14 +13,14 @@
 func endpointToProto(e directory.Endpoint, now time.Time) *pb.FleetEndpoint {
 	return &pb.FleetEndpoint{Id: e.ID, Service: e.Service, Address: e.Address, FailureDomain: e.FailureDomain,
 		Slots: uint32(e.Slots), State: uint32(e.State), BornMs: e.StartedUnixMS, Sequence: e.Sequence,
-		ColdMs: max(e.WarmupEndsAt.Sub(now), 0).Milliseconds(), AgeMs: now.Sub(e.LastReportAt).Milliseconds()}
+		ColdMs: max(e.WarmupEndsAt.Sub(now), 0).Milliseconds(), AgeMs: now.Sub(e.LastReportAt).Milliseconds(), Version: e.Version}
 }
 
 func endpointFromProto(p *pb.FleetEndpoint, now time.Time) directory.Endpoint {
 	return directory.Endpoint{ID: p.Id, Service: p.Service, Address: p.Address, FailureDomain: p.FailureDomain,
 		Slots: int(p.Slots), State: directory.State(p.State), StartedUnixMS: p.BornMs, Sequence: p.Sequence,
 		WarmupEndsAt: now.Add(time.Duration(p.ColdMs) * time.Millisecond),
-		LastReportAt: now.Add(-time.Duration(p.AgeMs) * time.Millisecond)}
+		LastReportAt: now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Version: p.Version}
 }
 
 func endpointLoadsToProto(loads EndpointLoads) *pb.EndpointLoads {
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -121,7 +121,7 @@
 
 // logRetry logs why another attempt follows.
 func (a *activeRequest) logRetry(message string, outcome retry.Outcome, err error) {
-	a.options.Logger.Info(message, "request", a.request.ID, "endpoint", a.choice.ID, "outcome", outcomeNames[outcome],
+	a.options.Logger.Info(message, "request", a.request.ID, "endpoint", a.choice.ID, "version", a.choice.Version, "outcome", outcomeNames[outcome],
 		"error", errorText(err), "runs", a.attempts.Runs, "refused", a.attempts.Refusals, "left_ms", a.attempts.TimeLeft.Milliseconds(),
 		"last_event", a.lastEventID)
 }
@@ -522,7 +522,7 @@
 		firstResponseMS = a.firstResponseAt.Sub(r.ReceivedAt).Milliseconds()
 	}
 	a.options.Logger.Info("request ended", "request", r.ID, "fingerprint", formatKey(a.fingerprint), "route", r.Route.Name, "workspace", r.Workspace,
-		"service", r.Service, "endpoint", a.choice.ID, "cross", a.choice.CrossDomain, "home", a.choice.Preferred, "expected_ms", a.choice.ExpectedWait.Milliseconds(),
+		"service", r.Service, "endpoint", a.choice.ID, "version", a.choice.Version, "resumed", r.ResumedID, "resumed_after", r.LastEventID, "cross", a.choice.CrossDomain, "home", a.choice.Preferred, "expected_ms", a.choice.ExpectedWait.Milliseconds(),
 		"unread", a.choice.PrefillTokens, "copied", a.choice.CopiedTokens, "copy_from", a.choice.CopySourceAddress, "report_age_ms", a.choice.ReportAge.Milliseconds(), "candidates", a.choice.CandidateCount,
 		"urgency", r.Urgency, "status", a.writtenStatus, "runs", a.attempts.Runs, "refused", a.attempts.Refusals, "resumes", a.resumeCount,
 		"first_ms", firstResponseMS, "pause_ms", a.longestGap.Milliseconds(), "took_ms", now.Sub(r.ReceivedAt).Milliseconds(), "left", ctx.Err() != nil, "error", errorText(err))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,6 +38,7 @@
 	ExpectedOutputTokens int                  // 0 if not known
 	Urgency              int                  // priority at the endpoint, 0 is served first
 	LastEventID          string               // id of the last stream event that the caller received, "" for none
+	ResumedID            string               // ID of the request that brought the first event of the stream that the caller takes up, "" for none
 }
 
 // ResponseMetadata is decoded from the status and header of an endpoint's response.
