Let streams go on only at the software version that began them

An entry that resumed a stream took any endpoint, and so did an entry where a caller took one up. The class of fault: endpoints of one service are taken for equal in what they may continue.

Change: the version that brought a response's first event binds all its further attempts. A caller names in Resumes the request that brought its first event; its entry looks in its own memory and asks the control hosts, to which entries report at the start of each attempt that may begin a stream, while several versions serve. Control hosts pass starts on to each other; entries report again all they remember to a host that has started again. Where only one version serves, nothing is reported or asked, and unknown streams go on. With several versions an unknown stream is refused after 0.3 s as not run; a version without endpoints ends the stream at once. A stream also stays at its service if the route still leads there.

Weighed: a version chosen by a hash of the request's ID can be derived anywhere, but not once versions have come or gone; starts in the replicated log cost a write for each stream; pushing all starts to all entries costs each 25 KB/s at the size to design for, where it may use 5.

--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/fleet.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/fleet.connect.go
@@ -39,6 +39,8 @@
 	FleetServiceDocumentProcedure = "/trefoilkeel.v1.FleetService/Document"
 	// FleetServiceShareProcedure is the fully-qualified name of the FleetService's Share RPC.
 	FleetServiceShareProcedure = "/trefoilkeel.v1.FleetService/Share"
+	// FleetServiceFindStreamProcedure is the fully-qualified name of the FleetService's FindStream RPC.
+	FleetServiceFindStreamProcedure = "/trefoilkeel.v1.FleetService/FindStream"
 )
 
 // FleetServiceClient is a client for the trefoilkeel.v1.FleetService service.
@@ -54,6 +56,8 @@
 	// to the called host itself. Outcomes of attempts go the same way, from an entry to
 	// all control hosts.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
+	// FindStream returns where a stream began that a caller takes up at another entry.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the trefoilkeel.v1.FleetService service. By
@@ -85,14 +89,21 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Share")),
 			connect.WithClientOptions(opts...),
 		),
+		findStream: connect.NewClient[v1.FindStreamRequest, v1.FindStreamResponse](
+			httpClient,
+			baseURL+FleetServiceFindStreamProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	watch    *connect.Client[v1.WatchFleetRequest, v1.FleetEvent]
-	document *connect.Client[v1.DocumentRequest, v1.DocumentResponse]
-	share    *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	watch      *connect.Client[v1.WatchFleetRequest, v1.FleetEvent]
+	document   *connect.Client[v1.DocumentRequest, v1.DocumentResponse]
+	share      *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	findStream *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
 }
 
 // Watch calls trefoilkeel.v1.FleetService.Watch.
@@ -110,6 +121,11 @@
 	return c.share.CallUnary(ctx, req)
 }
 
+// FindStream calls trefoilkeel.v1.FleetService.FindStream.
+func (c *fleetServiceClient) FindStream(ctx context.Context, req *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return c.findStream.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the trefoilkeel.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Watch streams the current state of the control host, then every change, and a
@@ -123,6 +139,8 @@
 	// to the called host itself. Outcomes of attempts go the same way, from an entry to
 	// all control hosts.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
+	// FindStream returns where a stream began that a caller takes up at another entry.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -150,6 +168,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Share")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceFindStreamHandler := connect.NewUnaryHandler(
+		FleetServiceFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(fleetServiceMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trefoilkeel.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceWatchProcedure:
@@ -158,6 +182,8 @@
 			fleetServiceDocumentHandler.ServeHTTP(w, r)
 		case FleetServiceShareProcedure:
 			fleetServiceShareHandler.ServeHTTP(w, r)
+		case FleetServiceFindStreamProcedure:
+			fleetServiceFindStreamHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -178,3 +204,7 @@
 func (UnimplementedFleetServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.Share is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.FindStream is not implemented"))
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,6 +32,8 @@
 	LatencyTarget        time.Duration // for the first event, or for the whole answer without a stream
 	GapTarget            time.Duration // target for the longest pause between events; 0 without a stream
 	TriedEndpoints       []string      // IDs of endpoints that earlier attempts were sent to
+	OnlyVersion          bool          // the request continues a stream that Version began
+	Version              string        // of the endpoint's software
 
 	urgent bool // set by the Table, see isUrgent
 }
@@ -96,6 +98,7 @@
 	Service      string
 	Known        int // endpoints of the service
 	Tried        int
+	OtherVersion int // of another software version than the stream
 	Draining     int
 	Ejected      int
 	Held         int           // asked for no requests for a time
@@ -107,8 +110,8 @@
 }
 
 func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d draining, %d ejected, %d held, %d limited, %d full, %d too late (soonest in %d ms)",
-		e.Service, e.Known, e.Tried, e.Draining, e.Ejected, e.Held, e.Limited, e.Full, e.TooLate, e.ShortestWait.Milliseconds())
+	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d of other versions, %d draining, %d ejected, %d held, %d limited, %d full, %d too late (soonest in %d ms)",
+		e.Service, e.Known, e.Tried, e.OtherVersion, e.Draining, e.Ejected, e.Held, e.Limited, e.Full, e.TooLate, e.ShortestWait.Milliseconds())
 }
 
 // ReportedLoad is the load that an endpoint reports with an answer.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -99,6 +99,8 @@
 	for _, e := range t.services[r.Service] {
 		none.Known++
 		switch {
+		case r.OnlyVersion && e.Version != r.Version:
+			none.OtherVersion++
 		case !e.acceptsRequests():
 			none.Draining++
 		case e.held(now):
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,8 +73,8 @@
 // New returns an entry without a configuration.
 func New(o Options) *Entry {
 	e := &Entry{options: o, entryCount: 1, configured: make(chan struct{})}
-	e.router = forward.New(forward.Options{Balance: o.Balance, RetryBudget: o.RetryBudget, Dialect: o.Dialect, Logger: o.Logger, Metrics: o.Metrics})
 	e.follower = fleet.NewFollower(fleet.FollowerOptions{EntryName: o.Name, FailureDomain: o.FailureDomain, SeedURLs: o.ControlURLs, HTTPClient: o.HTTPClient, Consumer: e, Logger: o.Logger})
+	e.router = forward.New(forward.Options{Balance: o.Balance, RetryBudget: o.RetryBudget, Dialect: o.Dialect, StreamFinder: e.follower, Logger: o.Logger, Metrics: o.Metrics})
 	return e
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/fleet"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
@@ -24,6 +25,8 @@
 	// maxPendingPlacements limits the placements, and the served parts, that no control host
 	// has acknowledged.
 	maxPendingPlacements = 1024
+	// maxPendingStarts limits the starts of streams that no control host has acknowledged.
+	maxPendingStarts = 8192
 )
 
 // LoadExchanger exchanges load between entries.
@@ -41,6 +44,7 @@
 	entry             *Entry
 	pendingPlacements []balance.PartPlacement
 	pendingOutcomes   fleet.AttemptOutcomes
+	pendingStarts     []origin.Start // of streams
 	judge             *isolatedJudge
 	exchangedAt       time.Time
 	lastResponse      fleet.LoadReport
@@ -56,7 +60,7 @@
 		case time.Since(x.exchangedAt) >= x.exchanger.ExchangeInterval():
 			x.exchangedAt = time.Now()
 			x.exchangeOnce(ctx)
-		case x.entry.router.HasBrokenAttempts() || x.entry.router.HasLimitWishes():
+		case x.entry.router.HasBrokenAttempts() || x.entry.router.HasLimitWishes() || x.entry.router.HasStreamStarts():
 			_, _ = x.exchange(ctx, fleet.LoadReport{Urgent: true}) // logged there
 		}
 	}
@@ -95,6 +99,9 @@
 	x.pendingPlacements = x.pendingPlacements[max(len(x.pendingPlacements)-maxPendingPlacements, 0):]
 	response, err := x.exchange(ctx, fleet.LoadReport{Loads: x.entry.router.InFlightByEndpoint(), Placements: x.pendingPlacements, Cursor: x.lastResponse.Cursor})
 	if err == nil {
+		if response.Cursor.Incarnation != x.lastResponse.Cursor.Incarnation {
+			x.pendingStarts = x.entry.router.TakeStreamStarts(true) // the control host knows none of them
+		}
 		x.pendingPlacements, x.lastResponse, x.lastResponseAt = nil, response, time.Now()
 		x.entry.router.AddPeerPlacements(response.Placements)
 	}
@@ -107,6 +114,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	x.takeOutcomes()
+	x.pendingStarts = append(x.pendingStarts, x.entry.router.TakeStreamStarts(false)...)
+	x.pendingStarts = x.pendingStarts[max(len(x.pendingStarts)-maxPendingStarts, 0):]
+	report.StreamStarts = x.pendingStarts
 	report.Outcomes, report.LimitWishes = x.pendingOutcomes, x.entry.router.TakeLimitWishes(!report.Urgent)
 	response, err := x.exchanger.ExchangeLoad(ctx, report)
 	if err != nil {
@@ -115,7 +125,7 @@
 			x.entry.router.GrantFallbackPermits(x.entry.EntryCount())
 		}
 	} else {
-		x.pendingOutcomes = fleet.AttemptOutcomes{}
+		x.pendingOutcomes, x.pendingStarts = fleet.AttemptOutcomes{}, nil
 		x.entry.router.ApplyLimitGrants(response.LimitGrants)
 	}
 	x.entry.setIsolatedQuarantine(x.judge.decide(time.Now(), err == nil))
--- a/internal/entry/exchange_test.go
+++ b/internal/entry/exchange_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -10,13 +13,20 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/fleet"
+	"github.com/trefoilkeel/trefoilkeel/internal/forward"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
+	"github.com/trefoilkeel/trefoilkeel/internal/retry"
 )
 
 // fakeExchanger stands for a control host that knows the load of some failure domains.
 type fakeExchanger struct {
 	failureDomains []string
 	unreachable    bool // every call fails
+	incarnation    uint64
 	received       fleet.LoadReport
 }
 
@@ -25,7 +35,7 @@
 		return fleet.LoadReport{}, errors.New("unreachable")
 	}
 	f.received = own
-	return fleet.LoadReport{Cursor: fleet.ExchangeCursor{Incarnation: 1, Position: 5}, Loads: othersLoad, FailureDomains: f.failureDomains}, nil
+	return fleet.LoadReport{Cursor: fleet.ExchangeCursor{Incarnation: f.incarnation + 1, Position: 5}, Loads: othersLoad, FailureDomains: f.failureDomains}, nil
 }
 
 func (f *fakeExchanger) ExchangeInterval() time.Duration { return 100 * time.Millisecond }
@@ -78,3 +88,53 @@
 	g.Expect(exchanger.received.Placements).To(HaveLen(maxPendingPlacements))
 	g.Expect(x.pendingPlacements).To(BeEmpty())
 }
+
+// Guards against control hosts that have forgotten streams at a restart: entries report again what
+// they remember, and what was not acknowledged.
+func TestStreamStartsAreReportedAgain(t *testing.T) {
+	g := NewWithT(t)
+	exchanger := &fakeExchanger{}
+	e := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	x := &loadExchange{exchanger: exchanger, entry: e, judge: newIsolatedJudge(time.Now())}
+	x.exchangeOnce(context.Background())
+	start := origin.Start{Stream: 1, Origin: origin.Origin{Service: "s", Version: "v1"}}
+	x.pendingStarts = []origin.Start{start}
+	exchanger.unreachable = true
+	x.exchangeOnce(context.Background())
+	g.Expect(x.pendingStarts).To(HaveLen(1))
+	exchanger.unreachable = false
+	x.exchangeOnce(context.Background())
+	g.Expect(exchanger.received.StreamStarts).To(Equal([]origin.Start{start}))
+	g.Expect(x.pendingStarts).To(BeEmpty())
+
+	e.router = routerWithStream()
+	x.exchangeOnce(context.Background())
+	g.Expect(exchanger.received.StreamStarts).To(HaveLen(2), "an attempt at each version")
+	x.exchangeOnce(context.Background())
+	g.Expect(exchanger.received.StreamStarts).To(BeEmpty())
+	exchanger.incarnation = 2
+	x.exchangeOnce(context.Background())
+	x.exchangeOnce(context.Background())
+	g.Expect(exchanger.received.StreamStarts).To(HaveLen(1), "the control host has started again")
+}
+
+// noHeaders is a dialect for attempts that reach no endpoint.
+type noHeaders struct{}
+
+func (noHeaders) AttemptHeader(*forward.Request, forward.Attempt) http.Header { return http.Header{} }
+
+func (noHeaders) DecodeResponse(*http.Response) forward.ResponseMetadata {
+	return forward.ResponseMetadata{}
+}
+
+// routerWithStream returns a router that has tried to begin a stream at one of two versions.
+func routerWithStream() *forward.Router {
+	rt := forward.New(forward.Options{RetryBudget: retry.NewBudget(1, 1, time.Second, 1), Dialect: noHeaders{}, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New()})
+	for i, version := range []string{"v1", "v2"} {
+		rt.UpdateEndpoints([]directory.Endpoint{{ID: version, Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Slots: 1, State: directory.Ready, StartedUnixMS: 1, Version: version}})
+	}
+	now := time.Now()
+	_ = rt.Serve(context.Background(), httptest.NewRecorder(), &forward.Request{ID: "r1", Service: "s", ReceivedAt: now, Deadline: now.Add(time.Second),
+		Route: &catalog.Route{Kind: catalog.EventStream, Resumable: true, MaxAttempts: 1}})
+	return rt
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
@@ -354,6 +355,7 @@
 	Loads          EndpointLoads           // load in flight: of the sending entry, or summed over the others
 	Placements     []balance.PartPlacement // cached prompt parts that the recipient has not received yet
 	Outcomes       AttemptOutcomes         // of the attempts of the sending entry since its last request that succeeded
+	StreamStarts   []origin.Start          // of the sending entry since its last request that succeeded
 	Urgent         bool                    // a request without load and placements, whose response has none either
 	LimitWishes    []balance.LimitWish     // of the sending entry
 	LimitGrants    []balance.LimitGrant    // to the sending entry, in a response
@@ -369,7 +371,7 @@
 		return LoadReport{}, errors.WithStack(&NoLiveHostError{FailureDomain: f.options.FailureDomain})
 	}
 	response, err := h.client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Entry: f.options.EntryName, FailureDomain: f.options.FailureDomain, Urgent: own.Urgent,
-		Outcomes: outcomesToProto(time.Now(), own.Outcomes), Limits: limitWishesToProto(time.Now(), own.LimitWishes), Loads: endpointLoadsToProto(own.Loads), Placed: placementsToProto(own.Placements), Mark: cursorToProto(own.Cursor)}))
+		Outcomes: outcomesToProto(time.Now(), own.Outcomes), StreamStarts: streamStartsToProto(own.StreamStarts), Limits: limitWishesToProto(time.Now(), own.LimitWishes), Loads: endpointLoadsToProto(own.Loads), Placed: placementsToProto(own.Placements), Mark: cursorToProto(own.Cursor)}))
 	if err != nil {
 		return LoadReport{}, err
 	}
--- a/internal/fleet/peer_poll.go
+++ b/internal/fleet/peer_poll.go
@@ -35,6 +35,7 @@
 	var others loadSum
 	switch {
 	case m.Urgent:
+		s.streams.add(now, m.Entry, streamStartsFromProto(m.StreamStarts))
 		s.quarantine.add(now, m.Entry, outcomesFromProto(now, m.Outcomes))
 		response.Limits = s.grantPermits(now, m.Limits, false)
 		return connect.NewResponse(response), nil
@@ -43,7 +44,10 @@
 		records, cursor := s.quarantine.outcomes.since(cursorFromProto(m.OutcomeMark), "")
 		response.Limits = demandsToProto(now, s.throttle.Demands(now))
 		response.Outcomes, response.OutcomeMark = outcomesToProto(now, outcomesOf(records)), cursorToProto(cursor)
+		starts, cursor := s.streams.log.since(cursorFromProto(m.StreamMark), "")
+		response.StreamStarts, response.StreamMark = streamStartsToProto(starts), cursorToProto(cursor)
 	default:
+		s.streams.add(now, m.Entry, streamStartsFromProto(m.StreamStarts))
 		s.quarantine.add(now, m.Entry, outcomesFromProto(now, m.Outcomes))
 		response.Limits = s.grantPermits(now, m.Limits, true)
 		s.loads.recordEntry(now, m.Entry, m.FailureDomain, endpointLoadsFromProto(m.Loads), placementsFromProto(m.Placed))
@@ -93,7 +97,8 @@
 	url    string
 	client trefoilkeelv1connect.FleetServiceClient
 
-	outcomeCursor ExchangeCursor // used by one poll at a time
+	outcomeCursor ExchangeCursor // used by one poll at a time, as streamCursor
+	streamCursor  ExchangeCursor
 
 	mu                sync.Mutex
 	polling           bool
@@ -124,7 +129,7 @@
 	s.mu.Lock()
 	cursor := s.loads.peers[p.url].cursor
 	s.mu.Unlock()
-	response, err := p.client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Mark: cursorToProto(cursor), OutcomeMark: cursorToProto(p.outcomeCursor)}))
+	response, err := p.client.Share(ctx, connect.NewRequest(&pb.ShareRequest{Mark: cursorToProto(cursor), OutcomeMark: cursorToProto(p.outcomeCursor), StreamMark: cursorToProto(p.streamCursor)}))
 	if err != nil {
 		s.logger.Debug("could not fetch the load of another control host's entries", "url", p.url, "error", err)
 		return
@@ -142,6 +147,8 @@
 	now := time.Now()
 	p.outcomeCursor = cursorFromProto(m.OutcomeMark)
 	s.quarantine.add(now, "", outcomesFromProto(now, m.Outcomes))
+	p.streamCursor = cursorFromProto(m.StreamMark)
+	s.streams.add(now, "", streamStartsFromProto(m.StreamStarts))
 	s.throttle.ObservePeer(now, p.url, demandsFromProto(now, m.Limits))
 	s.loads.recordPeer(now, p.url, cursorFromProto(m.Mark), sum, placementsFromProto(m.Placed))
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -77,6 +77,7 @@
 	loads       *loadTable
 	quarantine  *quarantineKeeper
 	throttle    *throttle.Table
+	streams     *streamStarts
 
 	storingQuarantine atomic.Bool // one at a time
 }
@@ -96,7 +97,7 @@
 func NewServer(o ServerOptions) *Server {
 	return &Server{log: o.Log, stateMachine: o.StateMachine, minVoters: o.MinVoters, failureDomain: o.FailureDomain, selfURL: o.SelfURL, httpClient: o.HTTPClient, logger: o.Logger, startedAt: time.Now(),
 		stopped:   make(chan struct{}),
-		directory: directory.New(), changed: make(chan struct{}), watchCounts: map[string]int{}, loads: newLoadTable(), quarantine: newQuarantineKeeper(), throttle: throttle.New()}
+		directory: directory.New(), changed: make(chan struct{}), watchCounts: map[string]int{}, loads: newLoadTable(), quarantine: newQuarantineKeeper(), throttle: throttle.New(), streams: newStreamStarts()}
 }
 
 // Handler returns the handler of FleetService and its path.
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
 	"github.com/trefoilkeel/trefoilkeel/internal/upstream"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
@@ -67,14 +68,15 @@
 
 	choice          balance.Choice
 	attempt         *balance.Attempt
-	reportedLoad    balance.ReportedLoad // from the header of the response
-	headReceived    bool                 // the endpoint of the attempt has begun its response
-	attemptEvents   int                  // events received in the attempt
-	attemptEventAt  time.Time            // first event of the attempt
-	sentAt          time.Time            // when the attempt was sent
-	servedRecorded  bool                 // the attempt counts as served
-	writtenStatus   int                  // status written to the caller, 0 for none
-	lastEventID     string               // last event written, or the one that the caller resumes after
+	reportedLoad    balance.ReportedLoad          // from the header of the response
+	headReceived    bool                          // the endpoint of the attempt has begun its response
+	attemptEvents   int                           // events received in the attempt
+	attemptEventAt  time.Time                     // first event of the attempt
+	sentAt          time.Time                     // when the attempt was sent
+	servedRecorded  bool                          // the attempt counts as served
+	writtenStatus   int                           // status written to the caller, 0 for none
+	origin          atomic.Pointer[origin.Origin] // of the stream, nil before its first event
+	lastEventID     string                        // last event written, or the one that the caller resumes after
 	resumeCount     int
 	firstResponseAt time.Time // zero until the first event or the complete response
 	lastEventAt     time.Time
@@ -94,6 +96,9 @@
 // run makes attempts until one is answered or no further one is allowed.
 func (a *activeRequest) run(ctx context.Context) error {
 	a.lastEventID = a.request.LastEventID
+	if err := a.findOrigin(ctx); err != nil {
+		return a.finalError(err)
+	}
 	for {
 		if err := a.chooseEndpoint(ctx); err != nil {
 			return a.finalError(err)
@@ -153,6 +158,7 @@
 		if err == nil {
 			a.attempt = a.table.RecordSent(now, request, choice)
 			a.triedEndpoints = append(a.triedEndpoints, choice.ID)
+			a.recordStart(now, choice.Version)
 		}
 		a.mu.Unlock()
 		if err == nil {
@@ -168,9 +174,13 @@
 
 // balanceRequest returns the properties of the request that decide on its endpoint.
 func (a *activeRequest) balanceRequest() balance.Request {
-	return balance.Request{Service: a.request.Service, PromptTokens: a.request.PromptTokens, Parts: a.request.PromptParts,
+	request := balance.Request{Service: a.request.Service, PromptTokens: a.request.PromptTokens, Parts: a.request.PromptParts,
 		ExpectedOutputTokens: a.request.ExpectedOutputTokens, BodyBytes: len(a.request.Body), Urgency: a.request.Urgency, RouteRank: a.request.Route.Rank,
 		LatencyTarget: a.request.Route.LatencyTarget, GapTarget: a.request.Route.GapTarget, TriedEndpoints: a.triedEndpoints}
+	if o := a.origin.Load(); o != nil {
+		request.OnlyVersion, request.Version = true, o.Version
+	}
+	return request
 }
 
 // endpointWait returns how long to wait for an endpoint after err. If no endpoint of
@@ -180,6 +190,9 @@
 	if errors.As(err, &noEndpoint) && noEndpoint.Known == 0 {
 		return min(time.Until(a.request.Deadline)/discoveryWaitDivisor, maxDiscoveryWait)
 	}
+	if noEndpoint != nil && noEndpoint.OtherVersion == noEndpoint.Known {
+		return 0 // the version that began the stream may never return
+	}
 	limit := a.request.Route.LatencyTarget / endpointWaitDivisor
 	if noEndpoint != nil && noEndpoint.HeldFor > limit {
 		return 0 // no endpoint will be available in time
@@ -436,6 +449,7 @@
 	var timedOut *RequestError
 	var noEndpoint *balance.NoEndpointError
 	var quarantined *QuarantinedError
+	var unknownOrigin *UnknownOriginError
 	switch {
 	case errors.As(cause, &timedOut) && a.attempts.Runs > 0:
 		return timedOut
@@ -445,6 +459,8 @@
 		return &RequestError{Reason: OutcomeUnknown, Detail: detail}
 	case errors.As(cause, &quarantined):
 		return &RequestError{Reason: Quarantined, Detail: detail, RetryAfter: quarantineRetryAfter}
+	case errors.As(cause, &unknownOrigin):
+		return &RequestError{Reason: UnknownOrigin, Detail: detail, RetryAfter: defaultRetryAfter}
 	case errors.As(cause, &noEndpoint):
 		return &RequestError{Reason: NoEndpoint, Detail: detail, RetryAfter: retryAfterWithJitter(noEndpoint, rand.Float64())}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -88,11 +88,12 @@
 // Reason classifies a failed request, and tells whether it can have run.
 type Reason string
 
-// With the first four reasons the request did not run and will not run.
+// With the first five reasons the request did not run and will not run.
 const (
 	NoEndpoint         Reason = "no_endpoint"     // no endpoint is known or has capacity
 	ExpiredBeforeStart Reason = "not_started"     // the deadline passed before any endpoint ran it
 	Quarantined        Reason = "quarantined"     // it, or a part of its prompt, crashes endpoints
+	UnknownOrigin      Reason = "unknown_origin"  // it takes a stream up that may have begun at any version
 	Unavailable        Reason = "unavailable"     // this entry host can't serve it
 	OutcomeUnknown     Reason = "outcome_unknown" // an endpoint may have run it
 	TimedOut           Reason = "timed_out"       // the deadline passed after an endpoint may have run it
@@ -105,11 +106,12 @@
 
 // Options configures a Router.
 type Options struct {
-	Balance     balance.Config
-	RetryBudget *retry.Budget
-	Dialect     Dialect
-	Logger      *slog.Logger
-	Metrics     *metrics.Registry
+	Balance      balance.Config
+	RetryBudget  *retry.Budget
+	Dialect      Dialect
+	StreamFinder StreamFinder // nil if no other entry can have begun a stream
+	Logger       *slog.Logger
+	Metrics      *metrics.Registry
 }
 
 // Router forwards requests. It is safe for concurrent use.
@@ -124,13 +126,14 @@
 	unconfirmed map[uint64][]unconfirmedResponse // by the endpoint's incarnation
 	brokenAt    map[uint64]time.Time             // by the endpoint's incarnation: when an attempt broke last
 	seen        fingerprintMemory                // of requests that were served or broken off
+	origins     *streamOrigins
 	table       *balance.Table
 	maxRequests map[string]int // by service: concurrent requests of this router at each endpoint, 0 for no limit
 }
 
 // New returns a router without endpoints.
 func New(o Options) *Router {
-	return &Router{options: o, client: upstream.New(), table: balance.New(o.Balance), maxRequests: map[string]int{}, unconfirmed: map[uint64][]unconfirmedResponse{}, brokenAt: map[uint64]time.Time{}}
+	return &Router{options: o, client: upstream.New(), origins: newStreamOrigins(), table: balance.New(o.Balance), maxRequests: map[string]int{}, unconfirmed: map[uint64][]unconfirmedResponse{}, brokenAt: map[uint64]time.Time{}}
 }
 
 // UpdateEndpoints applies changes of the directory.
@@ -140,6 +143,7 @@
 	for _, e := range changed {
 		rt.table.Update(e, rt.maxRequests[e.Service])
 	}
+	rt.origins.update(time.Now(), changed)
 }
 
 // entryConnectionFraction is the fraction of an endpoint's connection limit that
--- /dev/null
+++ b/internal/forward/origin.go
@@ -0,0 +1,197 @@
+package forward
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
+)
+
+const (
+	// maxPendingStarts limits the starts of streams that are to be reported; the oldest are dropped.
+	maxPendingStarts = 8192
+	// A request that takes a stream up waits for its origin for maxOriginWait, since reports of
+	// other entries may be under way, and at most for its time left divided by originWaitDivisor.
+	// Until all endpoints of the service have reported it waits for maxUnsettledWait.
+	maxOriginWait      = 300 * time.Millisecond
+	maxUnsettledWait   = 2 * time.Second
+	originWaitDivisor  = 3
+	originPollInterval = 50 * time.Millisecond
+)
+
+// StreamFinder finds the origin of streams that began at other entries.
+type StreamFinder interface {
+	// FindStream returns the origin of a stream. If it is not known, settled tells whether all
+	// endpoints are known by now.
+	FindStream(ctx context.Context, stream uint64) (o origin.Origin, known, settled bool)
+}
+
+// UnknownOriginError reports that a caller takes a stream up of which no host knows the software
+// version that began it, while endpoints of several versions serve.
+type UnknownOriginError struct {
+	ResumedID string // ID of the request that brought the first event, "" if the caller named none
+}
+
+func (e *UnknownOriginError) Error() string {
+	return "it is not known which version began the stream of request " + e.ResumedID
+}
+
+// streamKey identifies the stream that a request began, on all hosts alike.
+func streamKey(workspace, requestID string) uint64 {
+	h := sha256.New()
+	writeNumber(h, uint64(len(workspace)))
+	_, _ = h.Write([]byte(workspace + requestID)) // a hash returns no error
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+// streamOrigins is what a Router knows of the origins of streams. The Router's lock guards it.
+type streamOrigins struct {
+	memory   origin.Memory
+	versions *origin.Versions
+	mixed    map[string]bool // services of which several versions serve
+	pending  []origin.Start  // to be reported
+}
+
+func newStreamOrigins() *streamOrigins {
+	return &streamOrigins{versions: origin.NewVersions(), mixed: map[string]bool{}}
+}
+
+// update applies changes of the directory. Starts are reported only while several versions serve,
+// then also the earlier ones.
+func (s *streamOrigins) update(now time.Time, changed []directory.Endpoint) {
+	for _, e := range changed {
+		s.versions.Update(now, e.ID, origin.Origin{Service: e.Service, Version: e.Version}, e.State == directory.Gone)
+	}
+	for _, e := range changed {
+		if s.updateMixed(now, e.Service) {
+			s.report(s.memory.All(e.Service)...)
+		}
+	}
+}
+
+// updateMixed reports whether another version has joined the only one of a service.
+func (s *streamOrigins) updateMixed(now time.Time, service string) (joined bool) {
+	mixed := s.versions.Mixed(now, service)
+	joined = mixed && !s.mixed[service]
+	s.mixed[service] = mixed
+	return joined
+}
+
+func (s *streamOrigins) report(starts ...origin.Start) {
+	s.pending = append(s.pending, starts...)
+	s.pending = s.pending[max(len(s.pending)-maxPendingStarts, 0):]
+}
+
+// add records that an attempt may begin a stream.
+func (s *streamOrigins) add(now time.Time, start origin.Start) {
+	s.memory.Add(now, start)
+	s.updateMixed(now, start.Origin.Service)
+	if s.mixed[start.Origin.Service] {
+		s.report(start)
+	}
+}
+
+// TakeStreamStarts returns and clears the starts of streams to be reported. With all it returns
+// all that are remembered, for a control host that has none of them.
+func (rt *Router) TakeStreamStarts(all bool) []origin.Start {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	taken := rt.origins.pending
+	rt.origins.pending = nil
+	if !all {
+		return taken
+	}
+	taken = nil
+	for service, mixed := range rt.origins.mixed {
+		if mixed {
+			taken = append(taken, rt.origins.memory.All(service)...)
+		}
+	}
+	return taken
+}
+
+// HasStreamStarts reports whether there are starts of streams to be reported.
+func (rt *Router) HasStreamStarts() bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return len(rt.origins.pending) > 0
+}
+
+// isResumable reports whether the request is for a stream that may be taken up.
+func (a *activeRequest) isResumable() bool {
+	return a.request.Route.Kind == catalog.EventStream && a.request.Route.Resumable
+}
+
+// findOrigin finds the origin of a stream that the caller takes up. If only one version serves,
+// an unknown stream began there. An error is an *UnknownOriginError.
+func (a *activeRequest) findOrigin(ctx context.Context) error {
+	if a.request.LastEventID == "" || !a.isResumable() {
+		return nil
+	}
+	started, key := time.Now(), streamKey(a.request.Workspace, a.request.ResumedID)
+	for {
+		o, known, mixed, settled := a.knownOrigin(key)
+		if !known && (mixed || !settled) && a.options.StreamFinder != nil {
+			var hostsSettled bool
+			o, known, hostsSettled = a.options.StreamFinder.FindStream(ctx, key)
+			settled = settled || hostsSettled
+		}
+		if known {
+			a.setOrigin(o)
+			return nil
+		}
+		if settled && !mixed {
+			return nil
+		}
+		if time.Since(started) > a.originWait(settled) || !wait.For(ctx, originPollInterval) {
+			break
+		}
+	}
+	if _, _, mixed, _ := a.knownOrigin(key); !mixed {
+		return nil
+	}
+	return errors.WithStack(&UnknownOriginError{ResumedID: a.request.ResumedID})
+}
+
+// originWait returns how long to wait for the origin of a stream.
+func (a *activeRequest) originWait(settled bool) time.Duration {
+	limit := maxUnsettledWait
+	if settled {
+		limit = maxOriginWait
+	}
+	return min(limit, a.request.Deadline.Sub(a.request.ReceivedAt)/originWaitDivisor)
+}
+
+// knownOrigin returns what this entry knows of a stream and of the versions of the service.
+func (a *activeRequest) knownOrigin(key uint64) (o origin.Origin, known, mixed, settled bool) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o, known = a.origins.memory.Find(key)
+	return o, known, a.origins.versions.Mixed(now, a.request.Service), a.origins.versions.Settled(now, a.request.Service)
+}
+
+// setOrigin restricts the request to endpoints of the version that began its stream, at the same
+// service if the route still leads there.
+func (a *activeRequest) setOrigin(o origin.Origin) {
+	a.origin.Store(&o)
+	if slices.ContainsFunc(a.request.Route.Backends, func(b catalog.Backend) bool { return b.Service == o.Service && b.Weight > 0 }) {
+		a.request.Service = o.Service
+	}
+}
+
+// recordStart records where the stream of the request begins, or goes on, with the chosen
+// endpoint. The caller holds the lock.
+func (a *activeRequest) recordStart(now time.Time, version string) {
+	if a.isResumable() {
+		a.origins.add(now, origin.Start{Stream: streamKey(a.request.Workspace, a.request.ID), Origin: origin.Origin{Service: a.request.Service, Version: version}})
+	}
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
 	"github.com/trefoilkeel/trefoilkeel/internal/upstream"
 )
@@ -183,6 +184,7 @@
 		a.recordEvent(time.Now())
 		a.recordResponse()
 		a.recordGap(time.Now())
+		a.origin.CompareAndSwap(nil, &origin.Origin{Service: a.request.Service, Version: a.choice.Version})
 	}
 	if a.writtenStatus == 0 {
 		a.writeHeader(x.Response, -1)
--- /dev/null
+++ b/internal/origin/versions.go
@@ -0,0 +1,72 @@
+package origin
+
+import "time"
+
+const (
+	// goneTTL is how long after its last endpoint has gone a version may have begun streams that
+	// callers take up.
+	goneTTL = 2 * time.Minute
+	// settleTime is how long after a service became known all its endpoints have reported.
+	settleTime = 2 * time.Second
+)
+
+// Versions tracks which software versions the endpoints of services have.
+type Versions struct {
+	byEndpoint map[string]Origin // by endpoint ID
+	endpoints  map[Origin]int    // number of endpoints
+	goneAt     map[Origin]time.Time
+	knownSince map[string]time.Time // by service
+}
+
+// NewVersions returns a tracker without endpoints.
+func NewVersions() *Versions {
+	return &Versions{byEndpoint: map[string]Origin{}, endpoints: map[Origin]int{}, goneAt: map[Origin]time.Time{}, knownSince: map[string]time.Time{}}
+}
+
+// Update applies the state of an endpoint.
+func (v *Versions) Update(now time.Time, endpointID string, o Origin, gone bool) {
+	if old, known := v.byEndpoint[endpointID]; known {
+		delete(v.byEndpoint, endpointID)
+		if v.endpoints[old]--; v.endpoints[old] == 0 {
+			delete(v.endpoints, old)
+			v.goneAt[old] = now
+		}
+	}
+	if o.Service == "" {
+		return // a departure of an endpoint that was never known
+	}
+	if v.knownSince[o.Service].IsZero() {
+		v.knownSince[o.Service] = now
+	}
+	if gone {
+		v.goneAt[o] = now
+		return
+	}
+	v.byEndpoint[endpointID] = o
+	v.endpoints[o]++
+}
+
+// Mixed reports whether endpoints of several versions serve a service, or did so short ago.
+func (v *Versions) Mixed(now time.Time, service string) bool {
+	seen := map[string]bool{}
+	for o := range v.endpoints {
+		if o.Service == service {
+			seen[o.Version] = true
+		}
+	}
+	for o, at := range v.goneAt {
+		switch {
+		case now.Sub(at) > goneTTL:
+			delete(v.goneAt, o)
+		case o.Service == service:
+			seen[o.Version] = true
+		}
+	}
+	return len(seen) > 1
+}
+
+// Settled reports whether a service has been known for long enough that Mixed knows all versions.
+func (v *Versions) Settled(now time.Time, service string) bool {
+	since := v.knownSince[service]
+	return !since.IsZero() && now.Sub(since) > settleTime
+}
