Leave the parts of the prompt out of a request's fingerprint

A request that crashes endpoints comes again with the same path, caller and body. Headers that describe its prompt may differ, and then it was not known again. The prompt is in the body, so the parts add nothing.

--- a/internal/forward/fingerprint.go
+++ b/internal/forward/fingerprint.go
@@ -10,8 +10,8 @@
 )
 
 // fingerprint identifies what a request asks for, on all hosts alike: requests of the same
-// workspace with the same method, host, path, query, prompt and body have the same one, whatever
-// their IDs.
+// workspace with the same method, host, path, query and body have the same one, whatever their
+// IDs.
 func fingerprint(r *Request) uint64 {
 	h := sha256.New()
 	for _, field := range []string{r.Workspace, r.Method, r.Host, r.RequestURI} {
@@ -19,10 +19,6 @@
 		writeNumber(h, uint64(len(field)))
 		_, _ = h.Write([]byte(field)) // a hash returns no error
 	}
-	writeNumber(h, uint64(len(r.PromptParts)))
-	for _, part := range r.PromptParts {
-		writeNumber(h, part.ID)
-	}
 	_, _ = h.Write(r.Body)
 	return quarantine.RequestKey(binary.BigEndian.Uint64(h.Sum(nil)))
 }
