Judge a request apart from crashes that another one explains

Two requests that crash the endpoints of one small service: the crashes of the first, which is quarantined already, counted as crashes by another cause and delayed the verdict on the second.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -385,7 +385,7 @@
 	var part, request *suspicion
 	for _, s := range t.suspicions(now, explained) {
 		t.countBreaks(s)
-		if !t.suffices(s, offended(s.key)) {
+		if !t.suffices(s, offended(s.key), explained) {
 			continue
 		}
 		worst := &part
@@ -471,8 +471,9 @@
 }
 
 // suffices reports whether a suspicion is strong enough. The share of the attempts without
-// the key that broke meanwhile is the probability that one of its breaks is chance.
-func (t *Table) suffices(s *suspicion, offended bool) bool {
+// the key that broke meanwhile is the probability that one of its breaks is chance. Crashes that
+// are explained already say nothing of a request.
+func (t *Table) suffices(s *suspicion, offended bool, explained map[uint64]bool) bool {
 	needed, maxChance := minSequentialBreaks, maxChanceProbability
 	if IsRequest(s.key) {
 		needed = minRequestCrashes
@@ -484,15 +485,15 @@
 	if offended {
 		needed, weight = 1, s.breaks+priorOffenceBreaks
 	}
-	if s.breaks < needed || len(s.endpoints) < needed || IsRequest(s.key) && !offended && t.isAmongOthers(s) {
+	if s.breaks < needed || len(s.endpoints) < needed || IsRequest(s.key) && !offended && t.isAmongOthers(s, explained) {
 		return false
 	}
-	return math.Pow(t.chanceOfBreak(s), float64(weight)) <= maxChance
+	return math.Pow(t.chanceOfBreak(s, explained), float64(weight)) <= maxChance
 }
 
 // isAmongOthers reports whether a request was at no more crashes than happened elsewhere in its
 // services meanwhile: those may all have another cause. Crashes at the same moment count once.
-func (t *Table) isAmongOthers(s *suspicion) bool {
+func (t *Table) isAmongOthers(s *suspicion, explained map[uint64]bool) bool {
 	first, last := s.intervals[0].sentAt, s.intervals[0].brokenAt
 	for _, i := range s.intervals {
 		if i.sentAt.Before(first) {
@@ -507,6 +508,7 @@
 		switch {
 		case s.endpoints[endpoint]:
 			own = append(own, c.brokenAt)
+		case explained[endpoint]:
 		case s.services[c.service] && !c.hasResponded() && !c.brokenAt.Before(first) && !c.brokenAt.After(last.Add(eventGap)):
 			others = append(others, c.brokenAt)
 		}
@@ -529,19 +531,21 @@
 // chanceOfBreak estimates the probability that an attempt breaks by another cause. For a request
 // nothing served at all counts as one half, since endpoints of a service with no other traffic
 // may crash under it.
-func (t *Table) chanceOfBreak(s *suspicion) float64 {
+func (t *Table) chanceOfBreak(s *suspicion, explained map[uint64]bool) float64 {
 	since := s.intervals[0].sentAt
 	prior := 1
 	if IsRequest(s.key) {
 		since, prior = since.Add(-requestBaseline), 2
+	} else {
+		explained = nil
 	}
-	broken, served := t.otherOutcomes(since, s)
+	broken, served := t.otherOutcomes(since, s, explained)
 	return float64(broken+1) / float64(broken+served+prior)
 }
 
 // otherOutcomes counts the attempts of own entries at the services of a suspicion since a time: those
-// that were served, and those that broke at other endpoints.
-func (t *Table) otherOutcomes(since time.Time, s *suspicion) (broken, served int) {
+// that were served, and those that broke at other endpoints, without the given ones.
+func (t *Table) otherOutcomes(since time.Time, s *suspicion, without map[uint64]bool) (broken, served int) {
 	for service := range s.services {
 		for _, count := range t.servedCounts[service] {
 			if count.beganAt.Add(outcomeBucket).After(since) {
@@ -550,7 +554,7 @@
 		}
 	}
 	for endpoint, c := range t.crashes {
-		if s.endpoints[endpoint] || !s.services[c.service] || c.hasResponded() || c.brokenAt.Before(since) {
+		if s.endpoints[endpoint] || without[endpoint] || !s.services[c.service] || c.hasResponded() || c.brokenAt.Before(since) {
 			continue
 		}
 		broken += c.ownCount + c.earlierCount
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -52,7 +52,7 @@
 		return
 	}
 	a.tries++
-	if s.sendAttempt(a, 30*time.Millisecond, 40) && a.crashesPart && s.thirdAt > 0 && s.now > s.thirdAt+3*time.Second {
+	if s.sendAttempt(a, 30*time.Millisecond, 40) && a.request == crashingRequest && s.thirdAt > 0 && s.now > s.thirdAt+3*time.Second {
 		s.late++
 	}
 }
@@ -96,32 +96,41 @@
 		crashedShare float64 // of the endpoints, by another cause every seven seconds
 		spoiltShare  float64 // of the responses of sound requests
 		ownFraction  float64
+		another      bool // a second request crashes endpoints 12 s later
 	}{
-		{"small service", 3, 40, 300 * time.Millisecond, 0, 0, 1. / 3},
-		{"small service, few others", 3, 6, 300 * time.Millisecond, 0, 0, 1. / 3},
-		{"small service, seldom", 3, 40, 3 * time.Second, 0, 0, 1. / 3},
-		{"many at a time", 5, 40, 20 * time.Millisecond, 0, 0, 1. / 3},
-		{"spoilt responses", 3, 60, 300 * time.Millisecond, 0, 0.05, 1. / 3},
-		{"crashes by another cause", 12, 200, 300 * time.Millisecond, 0.25, 0, 1. / 3},
-		{"many endpoints", 76, 600, 100 * time.Millisecond, 0.2, 0.03, 1. / 5},
+		{"small service", 3, 40, 300 * time.Millisecond, 0, 0, 1. / 3, false},
+		{"small service, few others", 3, 6, 300 * time.Millisecond, 0, 0, 1. / 3, false},
+		{"small service, seldom", 3, 40, 3 * time.Second, 0, 0, 1. / 3, false},
+		{"small service, two requests", 3, 40, 300 * time.Millisecond, 0, 0, 1. / 3, true},
+		{"many at a time", 5, 40, 20 * time.Millisecond, 0, 0, 1. / 3, false},
+		{"spoilt responses", 3, 60, 300 * time.Millisecond, 0, 0.05, 1. / 3, false},
+		{"crashes by another cause", 12, 200, 300 * time.Millisecond, 0.25, 0, 1. / 3, false},
+		{"many endpoints", 76, 600, 100 * time.Millisecond, 0.2, 0.03, 1. / 5, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
 			for seed := range uint64(8) {
 				s := newRequestSimulation(seed, test.endpoints)
 				s.ownFraction = test.ownFraction
-				for s.now < 15*time.Second+6*test.interval {
+				crashing := map[uint64]bool{crashingRequest: true}
+				if test.another {
+					crashing[crashingRequest+1] = true
+				}
+				for s.now < 22*time.Second+6*test.interval {
 					s.sendRequests(test.perSecond)
 					if s.now > 5*time.Second && s.now%test.interval == 0 {
 						s.sendOne(simulatedAttempt{request: crashingRequest, crashesPart: true})
 					}
+					if test.another && s.now > 17*time.Second && s.now%test.interval == 0 {
+						s.sendOne(simulatedAttempt{request: crashingRequest + 1, crashesPart: true})
+					}
 					if s.now%(7*time.Second) == 0 {
 						s.crashSome(test.crashedShare)
 					}
 					s.spoil(test.spoiltShare)
 					s.advance()
 				}
-				g.Expect(s.quarantined).To(Equal(map[uint64]bool{crashingRequest: true}), "seed %d", seed)
+				g.Expect(s.quarantined).To(Equal(crashing), "seed %d", seed)
 				g.Expect(s.late).To(BeNumerically("<=", 3), "seed %d", seed)
 			}
 		})
