--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,174 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// keys returns the keys that an attempt is evidence on.
+func (b *BrokenAttempt) keys() []uint64 {
+	if b.Request == 0 {
+		return b.Parts
+	}
+	return append(slices.Clone(b.Parts), b.Request)
+}
+
+// AddBroken adds a broken attempt. own tells whether an entry reported it to this host. It
+// returns the keys of which this host knows a served attempt that other hosts must know to judge.
+func (t *Table) AddBroken(b BrokenAttempt, own bool) (served []uint64) {
+	if len(b.Parts) > maxParts {
+		b.Parts = b.Parts[:maxParts]
+	}
+	c := t.crashes[b.Endpoint]
+	if c == nil || b.BrokenAt.Sub(c.brokenAt) > crashSpan {
+		if c == nil && len(t.crashes) >= maxCrashes {
+			t.dropOldestCrash()
+		}
+		c = newCrash(c, &b)
+		t.crashes[b.Endpoint] = c
+	}
+	if len(c.breaks) >= maxBreaks || c.brokenAt.Sub(b.BrokenAt) > crashSpan || c.contains(&b) {
+		return nil
+	}
+	c.breaks = append(c.breaks, b)
+	if b.BrokenAt.After(c.brokenAt) {
+		c.brokenAt = b.BrokenAt
+	}
+	if own {
+		c.ownCount++
+	}
+	for _, key := range b.keys() {
+		if t.isRefuted(key, &b) {
+			served = append(served, key)
+			continue
+		}
+		if IsRequest(key) && t.wasServedBefore(key, b.SentAt) {
+			served = append(served, key)
+		}
+		if b.SentAt.After(t.broken[key]) {
+			t.broken[key] = b.SentAt
+		}
+	}
+	return served
+}
+
+// newCrash returns the record that takes the place of old, which may be nil.
+func newCrash(old *crash, b *BrokenAttempt) *crash {
+	c := &crash{service: b.Service, brokenAt: b.BrokenAt}
+	if old != nil {
+		c.earlierCount, c.respondedAt = old.earlierCount+old.ownCount, old.respondedAt
+	}
+	return c
+}
+
+// AddResponse adds that an incarnation of an endpoint has responded to an attempt. It reports
+// whether that shows that it did not crash, which other hosts must know to judge.
+func (t *Table) AddResponse(endpoint uint64, sentAt time.Time) (refuted bool) {
+	c := t.crashes[endpoint]
+	if c == nil || !sentAt.After(c.respondedAt) {
+		return false
+	}
+	before := c.hasResponded()
+	c.respondedAt = sentAt
+	return c.hasResponded() && !before
+}
+
+// LastResponse returns when the newest attempt was sent to which an incarnation is known to have
+// responded.
+func (t *Table) LastResponse(endpoint uint64) time.Time {
+	if c := t.crashes[endpoint]; c != nil {
+		return c.respondedAt
+	}
+	return time.Time{}
+}
+
+// repeatTolerance is how far apart the times of the same attempt may be that was reported
+// twice, since only its age is sent.
+const repeatTolerance = 50 * time.Millisecond
+
+// contains reports whether the crash holds an attempt, which may have been reported twice.
+func (c *crash) contains(b *BrokenAttempt) bool {
+	for i := range c.breaks {
+		old := &c.breaks[i]
+		if old.Request == b.Request && old.SentAt.Sub(b.SentAt).Abs() < repeatTolerance && old.BrokenAt.Sub(b.BrokenAt).Abs() < repeatTolerance && slices.Equal(old.Parts, b.Parts) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) dropOldestCrash() {
+	var oldest uint64
+	var at time.Time
+	for key, c := range t.crashes {
+		if at.IsZero() || c.brokenAt.Before(at) {
+			oldest, at = key, c.brokenAt
+		}
+	}
+	delete(t.crashes, oldest)
+}
+
+// AddServed adds a key of a served attempt: the response was complete, or went on long enough.
+// It reports whether the key was suspected and no longer is. An attempt that was sent
+// before others broke proves nothing: the part may crash endpoints since then only.
+func (t *Table) AddServed(key uint64, sentAt time.Time) (refuted bool) {
+	if sentAt.After(t.served[key]) {
+		t.served[key] = sentAt
+	}
+	brokenSentAt, suspected := t.broken[key]
+	if refuted = suspected && !sentAt.Before(brokenSentAt); refuted {
+		delete(t.broken, key)
+	}
+	return refuted
+}
+
+// LastServed returns when the newest attempt with a key was sent that was served.
+func (t *Table) LastServed(key uint64) time.Time { return t.served[key] }
+
+// wasServedBefore reports whether a request was served shortly before it was sent at a time.
+func (t *Table) wasServedBefore(request uint64, sentAt time.Time) bool {
+	servedAt, known := t.served[request]
+	return known && sentAt.Sub(servedAt) < recentlyServed
+}
+
+// CountServed counts attempts of own entries at a service that were served.
+func (t *Table) CountServed(now time.Time, service string, attempts int) {
+	counts := t.servedCounts[service]
+	if n := len(counts); n == 0 || now.Sub(counts[n-1].beganAt) >= outcomeBucket {
+		counts = append(counts, servedCount{beganAt: now})
+	}
+	counts[len(counts)-1].attempts += attempts
+	t.servedCounts[service] = counts
+}
+
+// Expire drops evidence that is too old.
+func (t *Table) Expire(now time.Time) {
+	for key, c := range t.crashes {
+		if now.Sub(c.brokenAt) > evidenceTTL {
+			delete(t.crashes, key)
+		} else if now.Sub(c.brokenAt) > 2*crashSpan && t.allRefuted(c) {
+			c.breaks = nil // only their number counts
+		}
+	}
+	for service, counts := range t.servedCounts {
+		for len(counts) > 0 && now.Sub(counts[0].beganAt) > evidenceTTL {
+			counts = counts[1:]
+		}
+		if t.servedCounts[service] = counts; len(counts) == 0 {
+			delete(t.servedCounts, service)
+		}
+	}
+	for key, at := range t.broken {
+		if now.Sub(at) > evidenceTTL {
+			delete(t.broken, key)
+		}
+	}
+	ttl := evidenceTTL
+	for ; len(t.served) > maxServed || ttl == evidenceTTL; ttl /= 2 {
+		for key, at := range t.served {
+			if now.Sub(at) > ttl {
+				delete(t.served, key)
+			}
+		}
+	}
+}
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -199,3 +199,21 @@
 	}
 	return crashAt
 }
+
+// Guards against a second request that crashes endpoints and goes unseen, because the crashes of
+// the first, which is quarantined, count as crashes by another cause.
+func TestQuarantinedRequestHidesNoOther(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	table.CountServed(start, "", 200)
+	quarantined := func(key uint64) bool { return key == crashingRequest }
+	for i := range uint64(9) {
+		request := crashingRequest
+		if i%3 == 1 {
+			request++
+		}
+		at := after(time.Duration(i) * time.Second)
+		table.AddBroken(BrokenAttempt{Endpoint: i, SentAt: at, BrokenAt: at.Add(100 * time.Millisecond), Request: request}, true)
+	}
+	g.Expect(table.Decide(after(10*time.Second), quarantined, none)).To(Equal([]uint64{crashingRequest + 1}))
+}
