Report starts of streams at most every 0.3 s on their own

With hundreds of endpoints entries exchange load every few seconds, and while versions mix each start would have caused a call of its own, ten a second. 0.3 s is under the time to a first event, before which nobody takes a stream up. Where load is exchanged every 0.1 s nothing changes.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -20,6 +20,9 @@
 	// urgentExchangeInterval is the time until broken attempts are reported and permits are
 	// requested. Where the load is exchanged less often, it is left out then.
 	urgentExchangeInterval = 100 * time.Millisecond
+	// streamStartInterval is the longest time until starts of streams are reported. It is shorter
+	// than the time to a first event, before which no caller takes a stream up.
+	streamStartInterval = 300 * time.Millisecond
 	// maxPendingBroken limits the broken attempts that no control host has acknowledged.
 	maxPendingBroken = 256
 	// maxPendingPlacements limits the placements, and the served parts, that no control host
@@ -46,7 +49,8 @@
 	pendingOutcomes   fleet.AttemptOutcomes
 	pendingStarts     []origin.Start // of streams
 	judge             *isolatedJudge
-	exchangedAt       time.Time
+	exchangedAt       time.Time // last exchange of load
+	reportedAt        time.Time // last exchange of any kind
 	lastResponse      fleet.LoadReport
 	lastResponseAt    time.Time
 	knownDomains      map[string]bool // failure domains whose load is known
@@ -60,7 +64,8 @@
 		case time.Since(x.exchangedAt) >= x.exchanger.ExchangeInterval():
 			x.exchangedAt = time.Now()
 			x.exchangeOnce(ctx)
-		case x.entry.router.HasBrokenAttempts() || x.entry.router.HasLimitWishes() || x.entry.router.HasStreamStarts():
+		case x.entry.router.HasBrokenAttempts() || x.entry.router.HasLimitWishes() ||
+			time.Since(x.reportedAt) >= streamStartInterval && x.entry.router.HasStreamStarts():
 			_, _ = x.exchange(ctx, fleet.LoadReport{Urgent: true}) // logged there
 		}
 	}
@@ -113,6 +118,7 @@
 func (x *loadExchange) exchange(ctx context.Context, report fleet.LoadReport) (fleet.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	x.reportedAt = time.Now()
 	x.takeOutcomes()
 	x.pendingStarts = append(x.pendingStarts, x.entry.router.TakeStreamStarts(false)...)
 	x.pendingStarts = x.pendingStarts[max(len(x.pendingStarts)-maxPendingStarts, 0):]
