Let a response clear only the breaks before it

Now a break is cleared by the response to an attempt that was sent later, and by nothing else; responses count for 2 s, shorter than a restart under the same ID, and only if they are to the request.

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -214,7 +214,6 @@
 	defer x.Close()
 	a.headReceived = true
 	a.confirmServed()
-	a.recordResponding()
 	metadata := a.options.Dialect.DecodeResponse(x.Response)
 	a.reportedLoad = metadata.Load
 	a.applyNotices(x, metadata)
@@ -228,6 +227,7 @@
 		a.recordEnd(balance.Failed)
 		return retry.Unknown, &upstream.ProtocolError{Reason: "the answer is not to this request"}
 	}
+	a.recordResponding()
 	switch success := isSuccess(x.Response.StatusCode); {
 	case a.request.Route.Kind == catalog.EventStream && success:
 		return a.forwardStream(ctx, x, timer)
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -22,7 +22,8 @@
 	maxUnconfirmed = 64
 	unconfirmedTTL = 10 * time.Second
 	// brokenEndpointTTL is how long after a broken attempt the responses of its endpoint are reported.
-	brokenEndpointTTL  = 10 * time.Second
+	// It is shorter than a restart, after which another incarnation may respond under the same ID.
+	brokenEndpointTTL  = 2 * time.Second
 	maxBrokenEndpoints = 1024
 )
 
@@ -154,7 +155,8 @@
 func (a *activeRequest) recordResponding() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if brokenAt, known := a.brokenAt[a.choice.Incarnation]; !known || !a.sentAt.After(brokenAt) {
+	brokenAt, known := a.brokenAt[a.choice.Incarnation]
+	if !known || !a.sentAt.After(brokenAt) || a.sentAt.Sub(brokenAt) > brokenEndpointTTL {
 		return
 	}
 	if a.outcomes.Responses == nil {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -68,9 +68,11 @@
 	if c == nil || !sentAt.After(c.respondedAt) {
 		return false
 	}
-	before := c.hasResponded()
+	before := c.respondedAt
 	c.respondedAt = sentAt
-	return c.hasResponded() && !before
+	return slices.ContainsFunc(c.breaks, func(b BrokenAttempt) bool {
+		return b.BrokenAt.Add(respondedMargin).Before(sentAt) && !b.BrokenAt.Add(respondedMargin).Before(before)
+	})
 }
 
 // LastResponse returns when the newest attempt was sent to which an incarnation is known to have
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,14 +65,11 @@
 	// recentlyServed is how long before its first break a request must not have been served. A
 	// request that was has breaks that overlap counted once, as those of a part.
 	recentlyServed = 10 * time.Second
-	// maxBreakSpread is how long before the last break at an endpoint its crash broke the others. What
-	// broke earlier was no crash.
-	maxBreakSpread = 200 * time.Millisecond
 	// eventGap separates crashes that are not at the same moment. A crash of many endpoints by one
 	// cause is seen by different hosts within less.
 	eventGap = 50 * time.Millisecond
 	// respondedMargin is how much later than a break an attempt must have been sent whose response
-	// shows that the endpoint did not crash. Times of different hosts differ by less.
+	// shows that the break was no crash. Times of different hosts differ by less.
 	respondedMargin = 100 * time.Millisecond
 	// evidenceTTL is how long breaks and served parts are kept.
 	evidenceTTL = 5 * time.Minute
@@ -97,8 +94,13 @@
 	earlierCount int // such breaks more than crashSpan before, at the same incarnation
 }
 
-// hasResponded reports whether the endpoint did not crash: it responded to a later attempt.
-func (c *crash) hasResponded() bool { return c.respondedAt.Sub(c.brokenAt) > respondedMargin }
+// hasResponded reports whether the endpoint did not crash: it responded after its last break.
+func (c *crash) hasResponded() bool { return c.respondedSince(c.brokenAt) }
+
+// respondedSince reports whether the endpoint responded to an attempt sent later than a break.
+func (c *crash) respondedSince(brokenAt time.Time) bool {
+	return c.respondedAt.Sub(brokenAt) > respondedMargin
+}
 
 // servedCount counts served attempts of the own entries in a bucket of time.
 type servedCount struct {
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -217,3 +217,26 @@
 	}
 	g.Expect(table.Decide(after(10*time.Second), quarantined, none)).To(Equal([]uint64{crashingRequest + 1}))
 }
+
+// Guards against a crash that is taken for none because another connection to the endpoint breaks
+// a little later, and against breaks before a crash that are taken for part of it.
+func TestResponseClearsWhatBrokeBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	spoilt := uint64(requestBit | 5)
+	table := New()
+	table.CountServed(start, "", 200)
+	for i := range uint64(3) {
+		at := after(time.Duration(i) * time.Second)
+		crashAt := at.Add(500 * time.Millisecond)
+		table.AddBroken(BrokenAttempt{Endpoint: i, SentAt: at, BrokenAt: at.Add(50 * time.Millisecond), Request: spoilt}, true)
+		table.AddBroken(BrokenAttempt{Endpoint: i, SentAt: crashAt.Add(-40 * time.Millisecond), BrokenAt: crashAt, Request: crashingRequest}, true)
+		table.AddBroken(BrokenAttempt{Endpoint: i, SentAt: crashAt, BrokenAt: crashAt.Add(250 * time.Millisecond), Request: requestBit | 6 + i}, true)
+		g.Expect(table.AddResponse(i, at.Add(200*time.Millisecond))).To(BeTrue(), "other hosts must know")
+		g.Expect(table.AddResponse(i, at.Add(210*time.Millisecond))).To(BeFalse())
+	}
+	g.Expect(table.Decide(after(5*time.Second), none, none)).To(Equal([]uint64{crashingRequest}))
+	for i := range uint64(3) {
+		table.AddResponse(i, after(time.Duration(i)*time.Second+time.Second))
+	}
+	g.Expect(table.Decide(after(5*time.Second), none, none)).To(BeEmpty(), "all endpoints go on")
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -139,7 +139,7 @@
 			}
 		}
 		for i := range c.breaks {
-			if b := &c.breaks[i]; b.Request != 0 && age >= requestSettleDelay && c.brokenAt.Sub(b.BrokenAt) <= maxBreakSpread {
+			if b := &c.breaks[i]; b.Request != 0 && age >= requestSettleDelay && !c.respondedSince(b.BrokenAt) {
 				t.addSuspicion(all, b.Request, 0, b)
 			}
 		}
