Refuse unknown streams at an entry without control hosts

Such an entry does not learn that another version has come, takes the one it knows for the only one, and lets a stream of the other go on there. Streams that began there go on. The test fails before (the stream was served).

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -32,6 +32,8 @@
 	// FindStream returns the origin of a stream. If it is not known, settled tells whether all
 	// endpoints are known by now.
 	FindStream(ctx context.Context, stream uint64) (o origin.Origin, known, settled bool)
+	// InContact reports whether what other hosts say still arrives.
+	InContact() bool
 }
 
 // UnknownOriginError reports that a caller takes a stream up of which no host knows the software
@@ -138,45 +140,65 @@
 	}
 	started, key := time.Now(), streamKey(a.request.Workspace, a.request.ResumedID)
 	for {
-		o, known, mixed, settled := a.knownOrigin(key)
-		if !known && (mixed || !settled) && a.options.StreamFinder != nil {
-			var hostsSettled bool
-			o, known, hostsSettled = a.options.StreamFinder.FindStream(ctx, key)
-			settled = settled || hostsSettled
-		}
-		if known {
-			a.setOrigin(o)
+		k := a.lookUpOrigin(ctx, key)
+		if k.known {
+			a.setOrigin(k.origin)
 			return nil
 		}
-		if settled && !mixed {
+		oneVersion := !k.mixed && k.inContact
+		if oneVersion && k.settled {
 			return nil
 		}
-		if time.Since(started) > a.originWait(settled) || !wait.For(ctx, originPollInterval) {
-			break
+		if time.Since(started) <= a.originWait(k) && wait.For(ctx, originPollInterval) {
+			continue
+		}
+		if oneVersion {
+			return nil
 		}
+		return errors.WithStack(&UnknownOriginError{ResumedID: a.request.ResumedID})
 	}
-	if _, _, mixed, _ := a.knownOrigin(key); !mixed {
-		return nil
+}
+
+// originKnowledge is what hosts know of a stream and of the versions of its service.
+type originKnowledge struct {
+	origin    origin.Origin
+	known     bool
+	mixed     bool // endpoints of several versions serve, or did so short ago
+	settled   bool // all endpoints are known
+	inContact bool // with a control host: an entry without one misses new versions
+}
+
+// lookUpOrigin returns what this entry knows and, where that does not suffice, the control hosts.
+func (a *activeRequest) lookUpOrigin(ctx context.Context, key uint64) originKnowledge {
+	finder := a.options.StreamFinder
+	k := a.knownOrigin(key)
+	k.inContact = finder == nil || finder.InContact()
+	if k.known || finder == nil || !k.mixed && k.settled && k.inContact {
+		return k
 	}
-	return errors.WithStack(&UnknownOriginError{ResumedID: a.request.ResumedID})
+	hostsSettled := false
+	k.origin, k.known, hostsSettled = finder.FindStream(ctx, key)
+	k.settled = k.settled || hostsSettled
+	return k
 }
 
 // originWait returns how long to wait for the origin of a stream.
-func (a *activeRequest) originWait(settled bool) time.Duration {
-	limit := maxUnsettledWait
-	if settled {
-		limit = maxOriginWait
+func (a *activeRequest) originWait(k originKnowledge) time.Duration {
+	limit := maxOriginWait
+	if !k.settled && k.inContact {
+		limit = maxUnsettledWait
 	}
 	return min(limit, a.request.Deadline.Sub(a.request.ReceivedAt)/originWaitDivisor)
 }
 
-// knownOrigin returns what this entry knows of a stream and of the versions of the service.
-func (a *activeRequest) knownOrigin(key uint64) (o origin.Origin, known, mixed, settled bool) {
-	now := time.Now()
+// knownOrigin returns what this entry knows by itself.
+func (a *activeRequest) knownOrigin(key uint64) originKnowledge {
+	now, service := time.Now(), a.request.Service
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	o, known = a.origins.memory.Find(key)
-	return o, known, a.origins.versions.Mixed(now, a.request.Service), a.origins.versions.Settled(now, a.request.Service)
+	k := originKnowledge{mixed: a.origins.versions.Mixed(now, service), settled: a.origins.versions.Settled(now, service)}
+	k.origin, k.known = a.origins.memory.Find(key)
+	return k
 }
 
 // setOrigin restricts the request to endpoints of the version that began its stream, at the same
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -26,11 +26,14 @@
 
 // knownStreams stands for control hosts.
 type knownStreams struct {
-	origins map[uint64]origin.Origin
-	settled bool
-	calls   int
+	origins  map[uint64]origin.Origin
+	settled  bool
+	isolated bool // no control host is reached
+	calls    int
 }
 
+func (k *knownStreams) InContact() bool { return !k.isolated }
+
 func (k *knownStreams) FindStream(_ context.Context, stream uint64) (o origin.Origin, known, settled bool) {
 	k.calls++
 	o, known = k.origins[stream]
@@ -132,6 +135,21 @@
 	g.Expect(finder.calls).To(Equal(1), "control hosts know all endpoints")
 }
 
+// Guards against an entry without control hosts, which has missed that another version came: the
+// caller takes its stream up at another entry instead.
+func TestUnknownStreamIsRefusedWithoutControlHosts(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, streamEvents(5, 0))
+	f.origins.versions = origin.NewVersions()
+	f.origins.versions.Update(time.Now().Add(-time.Minute), "e0", origin.Origin{Service: "s", Version: ""}, false)
+	f.options.StreamFinder = &knownStreams{isolated: true}
+	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), newRequest(catalog.EventStream, true))).To(Succeed())
+	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), takenUp("r1"))).To(Succeed(), "it began here")
+	err := f.Serve(context.Background(), httptest.NewRecorder(), takenUp("unknown"))
+	g.Expect(reasonOf(err)).To(Equal(UnknownOrigin))
+	g.Expect(f.requests()).To(HaveLen(2))
+}
+
 // Starts are reported only while several versions serve; then the earlier ones are, too.
 func TestStreamStartsAreReportedOnceVersionsMix(t *testing.T) {
 	g := NewWithT(t)
