Test that 70 entries find the streams of each other

1,400 streams of three versions, five failure domains, one control host gone: each entry finds a stream of another. A test only; it passes on the code as it is.

--- a/internal/fleet/stream_starts_test.go
+++ b/internal/fleet/stream_starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -48,3 +49,58 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(o).To(Equal(v2))
 }
+
+// Guards against streams that few of 70 entries can take up: each entry began some, in five failure
+// domains, and one of them loses its control host.
+func TestStreamsAreFoundAmong70Entries(t *testing.T) {
+	const streamsPerEntry = 20
+	g := NewWithT(t)
+	var hosts []*controlHost
+	domains := []string{"a", "b", "c", "d", "e"}
+	for _, domain := range domains {
+		hosts = append(hosts, newControlHost(t, domain))
+	}
+	connectPeers(hosts...)
+	var entries []*Follower
+	for i := range 70 {
+		f, _ := startFollowerIn(t, fmt.Sprint("entry", i), domains[i%len(domains)], hosts...)
+		entries = append(entries, f)
+	}
+	for _, f := range entries {
+		g.Eventually(func() int { return f.Status().LiveHostCount }, "20s").Should(Equal(len(hosts)))
+	}
+	stop := keepReporting(entries[:len(domains)]) // one entry of each domain
+	defer stop()
+	ctx := context.Background()
+	for i, f := range entries {
+		var starts []origin.Start
+		for n := range streamsPerEntry {
+			starts = append(starts, origin.Start{Stream: uint64(i*streamsPerEntry + n), Origin: origin.Origin{Service: "s", Version: fmt.Sprint("v", n%3)}})
+		}
+		_, err := f.ExchangeLoad(ctx, LoadReport{Urgent: true, StreamStarts: starts})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	knowsAll := func(h *controlHost) func() bool {
+		return func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			for stream := range uint64(len(entries) * streamsPerEntry) {
+				if o, known := h.streams.memory.Find(stream); !known || o.Version != fmt.Sprint("v", stream%streamsPerEntry%3) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	for _, h := range hosts[1:] {
+		g.Eventually(knowsAll(h), "10s").Should(BeTrue())
+	}
+	hosts[0].http.CloseClientConnections()
+	hosts[0].http.Close()
+	for i, f := range entries {
+		stream := uint64((i*streamsPerEntry + 7) * 3 % (len(entries) * streamsPerEntry))
+		o, known, _ := f.FindStream(ctx, stream)
+		g.Expect(known).To(BeTrue(), "entry %d", i)
+		g.Expect(o.Version).To(Equal(fmt.Sprint("v", stream%streamsPerEntry%3)))
+	}
+}
