Clear breaks by responses to any entry

With 36 entries before 41 endpoints, the entry that sees a reset rarely sends to that endpoint again in time. All entries now report to which endpoints' attempts they got responses, 10 bytes each, and a break counts 0.8 s after it for parts too, as for requests. Responses count for 2 s after a break, and not if the endpoint did not run the request.

A quarantined part that is sound stays so until an attempt in flight is served, or 15 minutes: that is why one wrong verdict starved a class (TIER). Not changed here.

--- a/internal/fleet/outcomes.go
+++ b/internal/fleet/outcomes.go
@@ -13,8 +13,7 @@
 	SentAt time.Time // when the newest such attempt was sent
 }
 
-// Response is the newest attempt to which an incarnation of an endpoint responded after it had
-// broken off others.
+// Response is the newest attempt to which an incarnation of an endpoint responded.
 type Response struct {
 	Endpoint uint64 // key of the incarnation
 	SentAt   time.Time
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -124,7 +124,6 @@
 	mu          sync.Mutex // guards table, options.RetryBudget, and the fields below
 	outcomes    AttemptOutcomes
 	unconfirmed map[uint64][]unconfirmedResponse // by the endpoint's incarnation
-	brokenAt    map[uint64]time.Time             // by the endpoint's incarnation: when an attempt broke last
 	seen        fingerprintMemory                // of requests that were served or broken off
 	origins     *streamOrigins
 	table       *balance.Table
@@ -133,7 +132,7 @@
 
 // New returns a router without endpoints.
 func New(o Options) *Router {
-	return &Router{options: o, client: upstream.New(), origins: newStreamOrigins(), table: balance.New(o.Balance), maxRequests: map[string]int{}, unconfirmed: map[uint64][]unconfirmedResponse{}, brokenAt: map[uint64]time.Time{}}
+	return &Router{options: o, client: upstream.New(), origins: newStreamOrigins(), table: balance.New(o.Balance), maxRequests: map[string]int{}, unconfirmed: map[uint64][]unconfirmedResponse{}}
 }
 
 // UpdateEndpoints applies changes of the directory.
@@ -243,7 +242,7 @@
 // CloseUnusedConnections closes idle connections that have expired or whose address is no
 // longer in the directory.
 func (rt *Router) CloseUnusedConnections(now time.Time) {
-	rt.expireOutcomes(now)
+	rt.expireUnconfirmed(now)
 	rt.mu.Lock()
 	addresses := rt.table.Addresses()
 	rt.mu.Unlock()
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"maps"
 	"slices"
 	"time"
 
@@ -21,10 +20,8 @@
 	// maxUnconfirmed limits the responses of one endpoint that wait for unconfirmedTTL at most.
 	maxUnconfirmed = 64
 	unconfirmedTTL = 10 * time.Second
-	// brokenEndpointTTL is how long after a broken attempt the responses of its endpoint are reported.
-	// It is shorter than a restart, after which another incarnation may respond under the same ID.
-	brokenEndpointTTL  = 2 * time.Second
-	maxBrokenEndpoints = 1024
+	// maxResponding limits the endpoints whose responses are reported.
+	maxResponding = 1024
 )
 
 // AttemptOutcomes are the outcomes of attempts. The last part of a prompt is left out: it belongs to
@@ -33,7 +30,7 @@
 	Broken         []quarantine.BrokenAttempt
 	Served         map[uint64]time.Time // by key of a prompt part or request: when the newest served attempt was sent
 	ServedAttempts map[string]int       // by service
-	Responses      map[uint64]time.Time // by an endpoint's incarnation that broke attempts off: when the newest later one was sent to which it responded
+	Responses      map[uint64]time.Time // by an endpoint's incarnation: when the newest attempt was sent to which it responded
 }
 
 // TakeOutcomes returns and clears the outcomes since the last call.
@@ -150,32 +147,26 @@
 	rt.unconfirmed[incarnation] = waiting
 }
 
-// recordResponding records that an endpoint responds after it broke off an earlier attempt of this
-// entry: it has not crashed then.
+// recordResponding records that the endpoint responds: what it broke off before was no crash.
 func (a *activeRequest) recordResponding() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	brokenAt, known := a.brokenAt[a.choice.Incarnation]
-	if !known || !a.sentAt.After(brokenAt) || a.sentAt.Sub(brokenAt) > brokenEndpointTTL {
-		return
-	}
-	if a.outcomes.Responses == nil {
-		a.outcomes.Responses = map[uint64]time.Time{}
+	o := &a.outcomes
+	if o.Responses == nil {
+		o.Responses = map[uint64]time.Time{}
 	}
-	if a.sentAt.After(a.outcomes.Responses[a.choice.Incarnation]) {
-		a.outcomes.Responses[a.choice.Incarnation] = a.sentAt
+	if newest, known := o.Responses[a.choice.Incarnation]; a.sentAt.After(newest) && (known || len(o.Responses) < maxResponding) {
+		o.Responses[a.choice.Incarnation] = a.sentAt
 	}
 }
 
-// expireOutcomes drops responses of endpoints that have not responded since, and endpoints that
-// broke their last attempt long ago.
-func (rt *Router) expireOutcomes(now time.Time) {
+// expireUnconfirmed drops responses of endpoints that have not responded since.
+func (rt *Router) expireUnconfirmed(now time.Time) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	for incarnation, waiting := range rt.unconfirmed {
 		rt.setUnconfirmed(incarnation, slices.DeleteFunc(waiting, func(u unconfirmedResponse) bool { return now.Sub(u.endedAt) > unconfirmedTTL }))
 	}
-	maps.DeleteFunc(rt.brokenAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > brokenEndpointTTL })
 }
 
 // recordServed records once for each attempt that its endpoint has served the request.
@@ -217,9 +208,6 @@
 	defer a.mu.Unlock()
 	a.seen.add(a.fingerprint)
 	delete(a.unconfirmed, a.choice.Incarnation)
-	if _, known := a.brokenAt[a.choice.Incarnation]; known || len(a.brokenAt) < maxBrokenEndpoints {
-		a.brokenAt[a.choice.Incarnation] = now
-	}
 	if len(a.outcomes.Broken) < maxBrokenAttempts {
 		a.outcomes.Broken = append(a.outcomes.Broken, quarantine.BrokenAttempt{Endpoint: a.choice.Incarnation,
 			SentAt: a.sentAt, BrokenAt: now, HasHead: a.headReceived, Parts: a.sharedParts(), Request: a.fingerprint, Service: a.request.Service})
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -34,6 +34,7 @@
 	if b.BrokenAt.After(c.brokenAt) {
 		c.brokenAt = b.BrokenAt
 	}
+	c.addResponse(t.responses[b.Endpoint])
 	if own {
 		c.ownCount++
 	}
@@ -64,26 +65,25 @@
 // AddResponse adds that an incarnation of an endpoint has responded to an attempt. It reports
 // whether that shows that it did not crash, which other hosts must know to judge.
 func (t *Table) AddResponse(endpoint uint64, sentAt time.Time) (refuted bool) {
+	if sentAt.After(t.responses[endpoint]) {
+		t.responses[endpoint] = sentAt
+	}
 	c := t.crashes[endpoint]
-	if c == nil || !sentAt.After(c.respondedAt) {
+	return c != nil && c.addResponse(sentAt)
+}
+
+// addResponse adds that the endpoint responded to an attempt. It reports whether that clears a break.
+func (c *crash) addResponse(sentAt time.Time) (cleared bool) {
+	if !sentAt.After(c.respondedAt) || sentAt.Sub(c.brokenAt) > respondedSpan {
 		return false
 	}
 	before := c.respondedAt
 	c.respondedAt = sentAt
 	return slices.ContainsFunc(c.breaks, func(b BrokenAttempt) bool {
-		return b.BrokenAt.Add(respondedMargin).Before(sentAt) && !b.BrokenAt.Add(respondedMargin).Before(before)
+		return sentAt.Sub(b.BrokenAt) > respondedMargin && before.Sub(b.BrokenAt) <= respondedMargin
 	})
 }
 
-// LastResponse returns when the newest attempt was sent to which an incarnation is known to have
-// responded.
-func (t *Table) LastResponse(endpoint uint64) time.Time {
-	if c := t.crashes[endpoint]; c != nil {
-		return c.respondedAt
-	}
-	return time.Time{}
-}
-
 // repeatTolerance is how far apart the times of the same attempt may be that was reported
 // twice, since only its age is sent.
 const repeatTolerance = 50 * time.Millisecond
@@ -160,6 +160,11 @@
 			delete(t.servedCounts, service)
 		}
 	}
+	for endpoint, at := range t.responses {
+		if now.Sub(at) > evidenceTTL {
+			delete(t.responses, endpoint)
+		}
+	}
 	for key, at := range t.broken {
 		if now.Sub(at) > evidenceTTL {
 			delete(t.broken, key)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,18 +47,16 @@
 	maxChanceProbability = 1e-5
 	// priorOffenceBreaks is what an earlier quarantine counts for.
 	priorOffenceBreaks = 2
-	// settleDelay is how long a break waits until it counts against a part. By then the reports of
-	// the other entries about the same time have arrived.
-	settleDelay = 400 * time.Millisecond
+	// settleDelay is how long a break waits until it counts. By then the reports of the other entries
+	// about the same time have arrived, and an endpoint that did not crash has responded to one of
+	// them.
+	settleDelay = 800 * time.Millisecond
 	// minRequestCrashes is how many endpoints must have crashed under a request.
 	minRequestCrashes = 3
 	// maxRequestChance is the probability that a quarantined request was hit only by crashes of
 	// another cause. Few requests are judged: it takes as many crashed endpoints as
 	// minRequestCrashes.
 	maxRequestChance = 1e-3
-	// requestSettleDelay is settleDelay for requests. By then an endpoint that reset a
-	// connection but did not crash has responded to a later attempt.
-	requestSettleDelay = 800 * time.Millisecond
 	// requestBaseline is how long before the first break of a request the outcomes of others
 	// count: if all endpoints of a small service crash, nothing is served between the crashes.
 	requestBaseline = 30 * time.Second
@@ -71,6 +69,9 @@
 	// respondedMargin is how much later than a break an attempt must have been sent whose response
 	// shows that the break was no crash. Times of different hosts differ by less.
 	respondedMargin = 100 * time.Millisecond
+	// respondedSpan is how much later at most. It is shorter than a restart, after which another
+	// incarnation may respond under the same ID.
+	respondedSpan = 2 * time.Second
 	// evidenceTTL is how long breaks and served parts are kept.
 	evidenceTTL = 5 * time.Minute
 	// outcomeBucket is the resolution at which the outcomes of attempts are counted.
@@ -114,9 +115,10 @@
 	served       map[uint64]time.Time     // by key: when the newest served attempt was sent
 	broken       map[uint64]time.Time     // by key: when the newest broken attempt was sent, unless one sent later was served
 	servedCounts map[string][]servedCount // by service, oldest first
+	responses    map[uint64]time.Time     // by key of the endpoint's incarnation: when the newest attempt was sent to which it responded
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{crashes: map[uint64]*crash{}, served: map[uint64]time.Time{}, broken: map[uint64]time.Time{}, servedCounts: map[string][]servedCount{}}
+	return &Table{crashes: map[uint64]*crash{}, served: map[uint64]time.Time{}, broken: map[uint64]time.Time{}, servedCounts: map[string][]servedCount{}, responses: map[uint64]time.Time{}}
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -129,8 +129,7 @@
 func (t *Table) suspicions(now time.Time, explained map[uint64]bool) map[uint64]*suspicion {
 	all := map[uint64]*suspicion{}
 	for endpoint, c := range t.crashes {
-		age := now.Sub(c.brokenAt)
-		if explained[endpoint] || age < settleDelay || c.hasResponded() {
+		if explained[endpoint] || now.Sub(c.brokenAt) < settleDelay || c.hasResponded() {
 			continue
 		}
 		for _, b := range c.suspects() {
@@ -139,7 +138,7 @@
 			}
 		}
 		for i := range c.breaks {
-			if b := &c.breaks[i]; b.Request != 0 && age >= requestSettleDelay {
+			if b := &c.breaks[i]; b.Request != 0 {
 				t.addSuspicion(all, b.Request, 0, c, b)
 			}
 		}
