--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -55,6 +55,14 @@
 	crashesPart bool
 }
 
+// crashesAt returns when the endpoint crashes: over a part after the head, over a request by its end.
+func (a *simulatedAttempt) crashesAt() time.Duration {
+	if a.request != 0 {
+		return a.endsAt
+	}
+	return a.headAt + 80*time.Millisecond
+}
+
 // report is an outcome on its way to the control host.
 type report struct {
 	arrivesAt time.Duration
@@ -130,7 +138,7 @@
 		var left []simulatedAttempt
 		crashes := false
 		for _, a := range e.inFlight {
-			crashes = crashes || a.crashesPart && s.now > min(a.headAt+80*time.Millisecond, a.endsAt)
+			crashes = crashes || a.crashesPart && s.now > a.crashesAt()
 			if !a.crashesPart && s.now >= a.endsAt {
 				r := report{served: a.parts, sentAt: after(a.sentAt)}
 				if a.request != 0 {
