--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -170,6 +170,9 @@
 		o.Served = append(o.Served, ServedKey{Key: i << 40, SentAt: now.Add(-time.Duration(i) * 50 * time.Millisecond)})
 	}
 	o.ServedAttempts = map[string]int{"service": 10}
+	for i := range uint64(10) { // each at another endpoint
+		o.Responses = append(o.Responses, Response{Endpoint: i << 40, SentAt: now.Add(-time.Duration(i) * 100 * time.Millisecond)})
+	}
 	g.Expect(proto.Size(outcomesToProto(now, o))).To(BeNumerically("<", 500))
 }
 
