--- a/internal/fleet/stream_starts_test.go
+++ b/internal/fleet/stream_starts_test.go
@@ -10,8 +10,8 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 )
 
-// Guards against a stream whose origin is known to the entry that began it only: an entry in any
-// failure domain finds it, one that has just arrived too, also after the host that was told has gone.
+// Guards against a stream whose origin only the entry that began it knows. Entries of other failure
+// domains find it, and so does a new entry that follows another control host than the first.
 func TestStreamIsFoundInAllFailureDomains(t *testing.T) {
 	g := NewWithT(t)
 	a, b := newControlHost(t, "a"), newControlHost(t, "b")
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -88,8 +88,8 @@
 	g.Expect(f.requests()).To(HaveLen(1))
 }
 
-// Guards against a stream that a caller takes up at another version: it began here, at an entry
-// that told the control hosts, or nobody knows where.
+// Guards against a stream that a caller takes up at another version. Its origin is known to this
+// entry, to the control hosts, or to no host.
 func TestCallerTakesStreamUpAtItsVersion(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, streamEvents(5, 0), streamEvents(5, 0))
