Keep a record of the software versions that serve in the log

Cause: which versions serve, or did so short ago, was known from endpoints' reports only. Where all hosts are killed at once just after the endpoints of the older version have left, hosts come back to one version, take it for the only one, and let streams go on there that the older one began: 200, joined, nothing in the answer to show it (reported from a system like ours).

Entries get the record before their first configuration, and count a recorded version without endpoints as just gone. An entry that no control host has confirmed the record to refuses unknown streams, as one without control hosts did.

Ruled out: waiting longer after a start (nobody is left to report), start times of endpoints, the wall clock.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -1,7 +1,8 @@
 // Package document implements a replicated state machine that holds one versioned
 // document. Operators replace it as a whole. The highest version wins; an older
 // or equal one is acknowledged, but not stored. Beside the document it holds the prompt
-// parts and requests that are quarantined, and the record of the duties that one host holds.
+// parts and requests that are quarantined, the record of the duties that one host holds, and that
+// of the software versions that serve.
 package document
 
 import (
@@ -10,6 +11,7 @@
 	"sync"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/duty"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 )
 
 // StateMachine holds the newest document. Its methods are safe for concurrent use. The
@@ -20,6 +22,7 @@
 	content    []byte
 	quarantine map[uint64]QuarantinedPart // by part
 	duties     duty.Record
+	served     origin.Record
 	changed    chan struct{} // closed at the next change
 }
 
@@ -47,7 +50,9 @@
 }
 
 // Apply stores the document of a command if its version is higher than the current
-// one, or changes the quarantine of a prompt part or the record of duties. It returns the resulting version, encoded in big-endian order.
+// one, or changes
+// the quarantine of a prompt part, the record of duties or that of the versions that serve. It
+// returns the resulting version, encoded in big-endian order.
 func (m *StateMachine) Apply(_ uint64, command []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -55,6 +60,8 @@
 		switch version := binary.BigEndian.Uint64(command); {
 		case version == quarantineCommandVersion && isDutyCommand(command):
 			m.applyDuty(command)
+		case version == quarantineCommandVersion && isServedCommand(command):
+			m.applyServed(command)
 		case version == quarantineCommandVersion:
 			m.applyQuarantine(command)
 		case version > m.version:
@@ -76,21 +83,25 @@
 	m.changed = make(chan struct{})
 }
 
-// Snapshot returns the record of duties, if there is one, the quarantined parts, if there are any,
+// Snapshot returns the records of duties and of versions that serve, and the quarantined parts, if there are any,
 // and the encoded command that stores the current document.
 func (m *StateMachine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return append(m.appendQuarantine(m.appendDuties(nil)), EncodeCommand(m.version, m.content)...), nil
+	return append(m.appendQuarantine(m.appendServed(m.appendDuties(nil))), EncodeCommand(m.version, m.content)...), nil
 }
 
-// Restore replaces the document, the quarantined parts and the record of duties by those of a
+// Restore replaces the document, the quarantined parts and the records by those of a
 // snapshot. An error is a *CorruptError.
 func (m *StateMachine) Restore(snapshot []byte) error {
 	duties, snapshot, err := cutDuties(snapshot)
 	if err != nil {
 		return err
 	}
+	served, snapshot, err := cutServed(snapshot)
+	if err != nil {
+		return err
+	}
 	quarantine, snapshot, err := cutQuarantine(snapshot)
 	if err != nil {
 		return err
@@ -100,7 +111,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.quarantine, m.duties = quarantine, duties
+	m.quarantine, m.duties, m.served = quarantine, duties, served
 	m.replace(binary.BigEndian.Uint64(snapshot), snapshot[versionBytes:])
 	return nil
 }
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -3,10 +3,13 @@
 import (
 	"flag"
 	"maps"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 )
 
 // rapidSeed makes the generated cases reproducible; the flag -rapid.seed overrides it.
@@ -146,3 +149,35 @@
 	g.Expect(parts).To(HaveLen(MaxQuarantinedParts))
 	g.Expect(parts[len(parts)-1]).To(Equal(QuarantinedPart{Part: 1000, Active: true, Offences: 1}))
 }
+
+// The versions that serve, duties, quarantined parts and the document must survive restarts from a
+// snapshot side by side, for names of all lengths.
+func TestServedVersionsSurviveSnapshots(t *testing.T) {
+	g := NewWithT(t)
+	for length := range 12 {
+		m := New()
+		m.Apply(1, EncodeCommand(3, []byte("three")))
+		m.Apply(1, EncodeQuarantineCommand(Quarantine, 7))
+		acquireDuties(m)
+		o := origin.Origin{Service: "s", Version: "v" + strings.Repeat("1", length)}
+		_, _, changed := m.Current()
+		m.Apply(1, EncodeServedCommand(origin.Change{Origin: o, Presence: origin.Serving}))
+		g.Expect(changed).To(BeClosed())
+		snapshot, err := m.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		other := New()
+		g.Expect(other.Restore(snapshot)).To(Succeed())
+		record, _ := other.Served()
+		g.Expect(record.Versions()).To(Equal([]origin.Origin{o}))
+		parts, _ := other.Quarantined()
+		g.Expect(parts).To(HaveLen(1))
+		duties, _ := other.Duties()
+		g.Expect(duties.IsZero()).To(BeFalse())
+		version, content, _ := other.Current()
+		g.Expect(version).To(Equal(uint64(3)))
+		g.Expect(string(content)).To(Equal("three"))
+		for n := servedSectionBytes; n < len(snapshot); n++ {
+			_ = New().Restore(snapshot[:n]) // must not panic
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/fleet"
 	"github.com/trefoilkeel/trefoilkeel/internal/forward"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
@@ -117,6 +118,11 @@
 	}
 }
 
+// SetServedVersions replaces the software versions that the control hosts have recorded.
+func (e *Entry) SetServedVersions(versions map[origin.Origin]bool) {
+	e.router.SetServedVersions(versions)
+}
+
 // SetQuarantinedParts replaces the prompt parts that the control hosts keep from endpoints.
 func (e *Entry) SetQuarantinedParts(parts map[uint64]bool) {
 	e.mu.Lock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 )
 
@@ -83,6 +84,7 @@
 	entries   int
 
 	quarantined map[uint64]bool
+	served      map[origin.Origin]bool
 }
 
 func (c *recordingConsumer) ApplyDocument(version uint64, content []byte) {
@@ -105,6 +107,12 @@
 	c.quarantined = parts
 }
 
+func (c *recordingConsumer) SetServedVersions(versions map[origin.Origin]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served = versions
+}
+
 func (c *recordingConsumer) SetEntryCount(count int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -46,6 +46,9 @@
 	UpdateEndpoints(changed []directory.Endpoint)
 	// SetQuarantinedParts receives the prompt parts that must be kept from endpoints.
 	SetQuarantinedParts(parts map[uint64]bool)
+	// SetServedVersions receives the versions that control hosts have recorded, before the first
+	// configuration.
+	SetServedVersions(versions map[origin.Origin]bool)
 	// SetEntryCount receives the number of entries among which limits are divided.
 	SetEntryCount(count int)
 }
@@ -89,7 +92,8 @@
 	failureDomain   string
 	confirmed       bool // its watch has reported that it is up to date
 	quarantined     []uint64
-	entryCount      int // entries that watch it
+	served          []origin.Origin // versions that it has recorded
+	entryCount      int             // entries that watch it
 	liveChangedAt   time.Time
 	cancel          context.CancelFunc
 }
@@ -246,6 +250,10 @@
 		h.quarantined = event.Quarantine.Parts
 	}
 	f.updateQuarantine()
+	if event.Served != nil {
+		h.served = servedFromProto(event.Served)
+		f.updateServed()
+	}
 	h.documentVersion, h.failureDomain = event.Version, event.FailureDomain
 	if event.Version > f.documentVersion {
 		select {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -20,6 +20,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/throttle"
@@ -187,13 +188,14 @@
 	s.changed = make(chan struct{})
 }
 
-// Run expires silent endpoints, polls the load of the other failure domains and decides on
-// quarantines until ctx ends, and then ends the watches.
+// Run expires silent endpoints, polls the load of the other failure domains, decides on
+// quarantines and records the versions that serve until ctx ends, and then ends the watches.
 func (s *Server) Run(ctx context.Context) error {
 	defer close(s.stopped)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { s.pollPeers(ctx); return nil })
 	group.Go(func() error { s.keepQuarantine(ctx); return nil })
+	group.Go(func() error { s.keepServedVersions(ctx); return nil })
 	group.Go(func() error { wait.Every(ctx, expireInterval, s.expireEndpoints); return nil })
 	return group.Wait()
 }
@@ -224,6 +226,8 @@
 	entryCount        int
 	memberCount       int
 	quarantineSent    bool
+	servedSent        bool
+	served            []origin.Origin
 	quarantined       []uint64
 }
 
@@ -303,6 +307,9 @@
 		}
 	}
 	stored, _ := s.stateMachine.Quarantined()
+	if w.confirmed {
+		out.Served = s.servedUpdate(w)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if parts := s.quarantine.quarantined(stored); !w.quarantineSent || !slices.Equal(parts, w.quarantined) {
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -32,7 +32,7 @@
 	// FindStream returns the origin of a stream. If it is not known, settled tells whether all
 	// endpoints are known by now.
 	FindStream(ctx context.Context, stream uint64) (o origin.Origin, known, settled bool)
-	// InContact reports whether what other hosts say still arrives.
+	// InContact reports whether what other hosts say of the versions that serve arrives.
 	InContact() bool
 }
 
@@ -73,9 +73,22 @@
 		s.versions.Update(now, e.ID, origin.Origin{Service: e.Service, Version: e.Version}, e.State == directory.Gone)
 	}
 	for _, e := range changed {
-		if s.updateMixed(now, e.Service) {
-			s.report(s.memory.All(e.Service)...)
-		}
+		s.reportIfMixed(now, e.Service)
+	}
+}
+
+// setRecorded applies the versions that control hosts have recorded.
+func (s *streamOrigins) setRecorded(now time.Time, versions map[origin.Origin]bool) {
+	s.versions.SetRecorded(now, versions)
+	for o := range versions {
+		s.reportIfMixed(now, o.Service)
+	}
+}
+
+// reportIfMixed reports the streams of a service once another version has joined its only one.
+func (s *streamOrigins) reportIfMixed(now time.Time, service string) {
+	if s.updateMixed(now, service) {
+		s.report(s.memory.All(service)...)
 	}
 }
 
@@ -101,6 +114,13 @@
 	}
 }
 
+// SetServedVersions replaces the versions that control hosts have recorded: they serve, or did so short ago.
+func (rt *Router) SetServedVersions(versions map[origin.Origin]bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.origins.setRecorded(time.Now(), versions)
+}
+
 // TakeStreamStarts returns and clears the starts of streams to be reported. With all it returns
 // all that are remembered, for a control host that has none of them.
 func (rt *Router) TakeStreamStarts(all bool) []origin.Start {
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -16,6 +16,7 @@
 	endpoints  map[Origin]int    // number of endpoints
 	goneAt     map[Origin]time.Time
 	knownSince map[string]time.Time // by service
+	recorded   map[Origin]bool      // by the control hosts
 }
 
 // NewVersions returns a tracker without endpoints.
@@ -46,6 +47,18 @@
 	v.endpoints[o]++
 }
 
+// SetRecorded replaces the versions that the control hosts have recorded. One without an endpoint may
+// have gone just before.
+func (v *Versions) SetRecorded(now time.Time, recorded map[Origin]bool) {
+	known := v.recorded
+	v.recorded = recorded
+	for o := range recorded {
+		if !known[o] && v.endpoints[o] == 0 {
+			v.goneAt[o] = now
+		}
+	}
+}
+
 // Mixed reports whether endpoints of several versions serve a service, or did so short ago.
 func (v *Versions) Mixed(now time.Time, service string) bool {
 	seen := map[string]bool{}
