Let a build switch off each mechanism of an entry

Cause: nothing told what each mechanism is worth, alone or on other deployments. Ruled out: settings of a deployment, since operators must not switch off what rules need.

--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
+)
 
 // Admission control: under overload the least urgent prompts are declined. A
 // request that misses its target delays others that could still meet theirs, and a
@@ -28,7 +32,7 @@
 // that long prompts are not declined for their length.
 func (t *Table) exceedsAdmissionWait(r *Request, c Choice) bool {
 	leastUrgent := t.leastUrgentRanks[r.Service]
-	if r.PromptTokens == 0 || r.LatencyTarget <= 0 || leastUrgent == 0 || r.RouteRank == 0 {
+	if t.config.Off.Has(mechanism.AdmissionByWait) || r.PromptTokens == 0 || r.LatencyTarget <= 0 || leastUrgent == 0 || r.RouteRank == 0 {
 		return false
 	}
 	fraction := leastUrgentWaitFraction
@@ -38,7 +42,7 @@
 	switch {
 	case r.OutsideShare:
 		fraction *= outsideShareWaitFactor
-	case r.Returned:
+	case r.Returned && !t.config.Off.Has(mechanism.ReturnsFirst):
 		fraction *= waitFactorPerRank
 	}
 	return float64(c.QueueWait()) > fraction*float64(r.LatencyTarget)
@@ -54,7 +58,7 @@
 func (t *Table) exceedsCacheLimit(e *endpoint, r *Request) bool {
 	capacity := t.cacheCapacityTokens[r.Service]
 	inFlight := e.promptTokens + e.peerLoad.PromptTokens
-	return capacity > 0 && r.PromptTokens > 0 && r.urgentCount() == 0 && inFlight > 0 && float64(inFlight+r.PromptTokens) > maxPromptCacheFraction*float64(capacity)
+	return !t.config.Off.Has(mechanism.CacheLimit) && capacity > 0 && r.PromptTokens > 0 && r.urgentCount() == 0 && inFlight > 0 && float64(inFlight+r.PromptTokens) > maxPromptCacheFraction*float64(capacity)
 }
 
 // QueueWait returns the part of the expected wait that the request spends behind others.
--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // Result says how an attempt ended.
@@ -109,7 +111,9 @@
 	current := e.learnedSlowdown(now)
 	ratio := float64(took) / float64(max(expected, minLearnedWait)) * current * a.hostFactor / e.hostFactor.at(now)
 	ratio = max(min(ratio, current*maxSlowdownIncrease, maxSlowdown), minSlowdown)
-	e.slowdown, e.slowdownAt = current+slowdownWeight*(ratio-current), now
+	if !t.config.Off.Has(mechanism.Slowdown) {
+		e.slowdown, e.slowdownAt = current+slowdownWeight*(ratio-current), now
+	}
 }
 
 // currentSlowdown returns the learned slowdown as corrected by the state of the host that
@@ -138,7 +142,9 @@
 	}
 	e.reportedLoad, e.reportedAt = load, now
 	e.ownRequestsAtReport = e.running + e.waiting
-	e.hostFactor.record(now, load.HostPercent)
+	if !t.config.Off.Has(mechanism.HostFactor) {
+		e.hostFactor.record(now, load.HostPercent)
+	}
 }
 
 // RecordEnd records the end of an attempt. A second call for the same attempt has no
@@ -166,12 +172,12 @@
 	case ErrorResponse:
 		e.answeredAt = now
 		e.ejection.succeeded()
-		e.errorRate.add(now, 1)
+		t.recordError(now, e)
 	case Failed:
-		e.errorRate.add(now, 1)
+		t.recordError(now, e)
 		e.ejection.failed(now, t.mayEject(now, e))
 	case Unreachable:
-		e.errorRate.add(now, 1)
+		t.recordError(now, e)
 		e.ejection.unreachable(now, t.mayEject(now, e))
 	case NotRun:
 		e.ejection.busy(now)
@@ -180,6 +186,12 @@
 	}
 }
 
+func (t *Table) recordError(now time.Time, e *endpoint) {
+	if !t.config.Off.Has(mechanism.ErrorRate) {
+		e.errorRate.add(now, 1)
+	}
+}
+
 // maxEjectedFraction bounds the endpoints of a service that are ejected at the
 // same time.
 const maxEjectedFraction = 0.5
@@ -187,6 +199,9 @@
 // mayEject reports whether ejecting an endpoint keeps the service within
 // maxEjectedFraction.
 func (t *Table) mayEject(now time.Time, e *endpoint) bool {
+	if t.config.Off.Has(mechanism.Ejection) {
+		return false
+	}
 	total, ejected := 0, 0
 	for _, other := range t.services[e.Service] {
 		total++
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // PromptPart is a section of a prompt. Several requests may have a part in common.
@@ -55,6 +56,8 @@
 	// PrefillTokenCost is the cost of prefilling a shared prompt token once more,
 	// beyond the time that it takes: other requests of the endpoint wait for it too.
 	PrefillTokenCost time.Duration
+	// Off are the mechanisms that are switched off, to measure what they are worth.
+	Off mechanism.Set
 }
 
 // Defaults of Config; docs/decisions/061 and 063 give the figures behind them.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // Choose returns the endpoint for a request, or a *NoEndpointError. The caller
@@ -50,6 +51,7 @@
 // choiceInputs holds what the estimates of all candidates of one request share.
 type choiceInputs struct {
 	now               time.Time
+	off               mechanism.Set
 	request           *Request
 	preferred         *endpoint
 	reservationActive bool    // reserved endpoints are kept free of long prompts
@@ -67,12 +69,12 @@
 }
 
 func (t *Table) newChoiceInputs(now time.Time, r *Request) choiceInputs {
-	in := choiceInputs{now: now, request: r, model: t.model(r.Service), waitFactor: 1, reservationActive: t.reservationActive(now, r.Service), sharedTokens: sharedTokens(r.Parts), serviceEndpoints: t.services[r.Service]}
+	in := choiceInputs{now: now, off: t.config.Off, request: r, model: t.model(r.Service), waitFactor: 1, reservationActive: t.reservationActive(now, r.Service), sharedTokens: sharedTokens(r.Parts), serviceEndpoints: t.services[r.Service]}
 	if r.PromptTokens > 0 {
 		in.waitFactor = t.currentWaitFactor(now, r.Service)
 		in.overhead = in.model.overhead()
 	}
-	if len(r.Parts) > 0 {
+	if len(r.Parts) > 0 && !t.config.Off.Has(mechanism.Spread) {
 		in.spreadSeed = r.Parts[len(r.Parts)-1].ID
 		in.spread = minSpread + time.Duration(spreadPerPrefillTime*float64(in.model.speed.prefillTime(r.Parts[len(r.Parts)-1].Tokens)))
 	}
@@ -149,7 +151,7 @@
 // reservation is active.
 func (t *Table) preferredEndpoint(candidates []*endpoint, in *choiceInputs) *endpoint {
 	partID, ok := sharedPartID(in.request.Parts)
-	if !ok {
+	if !ok || t.config.Off.Has(mechanism.Affinity) {
 		return nil
 	}
 	var preferred *endpoint
@@ -217,6 +219,9 @@
 		c.ReportAge = now.Sub(e.reportedAt)
 	}
 	cached := e.cachedParts.cachedOrPendingTokens(now, r.Parts, e.cacheResidence)
+	if t.config.Off.Has(mechanism.CacheAwareness) {
+		cached = 0
+	}
 	if e == in.preferred && !t.placementsKnown(now, e) && e.age(now) > emptyCacheAge {
 		cached = max(cached, int(assumedCachedFraction*float64(in.sharedTokens)))
 	}
--- a/internal/balance/copy.go
+++ b/internal/balance/copy.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
+)
 
 // Where engines can copy cached prompt parts from each other, any engine can serve
 // a prompt that one of them has prefilled: the copy takes a few milliseconds, the
@@ -67,7 +71,7 @@
 // evict the least recently used parts.
 func (t *Table) findCopySource(now time.Time, r *Request) copySource {
 	s := copySource{perToken: t.copyTimesPerToken[r.Service]}
-	if s.perToken <= 0 || len(r.Parts) < 2 {
+	if t.config.Off.Has(mechanism.Copies) || s.perToken <= 0 || len(r.Parts) < 2 {
 		return s
 	}
 	shared := r.Parts[:len(r.Parts)-1]
--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // engineModel describes how the engines of a service produce streams, as configured and
@@ -159,7 +161,7 @@
 // learnPrefill learns the prefill rate from the time to the first event of a prompt, if
 // little else was to be prefilled at the endpoint.
 func (t *Table) learnPrefill(a *Attempt, took time.Duration) {
-	if a.copiedTokens > 0 || a.load.waiting > 1 || float64(a.load.prefillTokens) > maxPendingShare*float64(a.prefillTokens) {
+	if t.config.Off.Has(mechanism.LearnedSpeed) || a.copiedTokens > 0 || a.load.waiting > 1 || float64(a.load.prefillTokens) > maxPendingShare*float64(a.prefillTokens) {
 		return
 	}
 	if a.crossDomain {
--- a/internal/balance/interference.go
+++ b/internal/balance/interference.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // Costs of interference between the requests of an engine. Each request makes
@@ -71,7 +73,7 @@
 // endpoint, and what they lose to it, besides its wait.
 func (e *endpoint) interferenceCost(in *choiceInputs, d demand, prefillTokens int) time.Duration {
 	r := in.request
-	if r.PromptTokens == 0 || r.GapTarget <= 0 {
+	if in.off.Has(mechanism.Interference) || r.PromptTokens == 0 || r.GapTarget <= 0 {
 		return 0
 	}
 	cost := time.Duration(float64(d.running+d.waiting) * float64(unitCostGapTarget) / float64(r.GapTarget) * float64(time.Millisecond))
--- a/internal/balance/reserved.go
+++ b/internal/balance/reserved.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // Where a service has urgent streams, some endpoints are reserved for them and
@@ -193,7 +195,7 @@
 // free of long prompts.
 func (t *Table) reservationActive(now time.Time, service string) bool {
 	at, ok := t.lastUrgentAt[service]
-	return ok && now.Sub(at) < reservationDuration
+	return ok && now.Sub(at) < reservationDuration && !t.config.Off.Has(mechanism.Reservation)
 }
 
 // recordPrefillDemand sets how many endpoints of a failure domain the prompt tokens sent of
--- a/internal/balance/wait_factor.go
+++ b/internal/balance/wait_factor.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // Limits of a wait factor.
@@ -25,7 +27,7 @@
 // currentWaitFactor returns the wait factor of a service, which decays towards 1.
 func (t *Table) currentWaitFactor(now time.Time, service string) float64 {
 	known := t.waitFactors[service]
-	if known == nil {
+	if known == nil || t.config.Off.Has(mechanism.WaitFactor) {
 		return 1
 	}
 	return 1 + (known.value-1)*decay(now.Sub(known.updatedAt), waitFactorDecayTime)
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/admission"
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
@@ -205,6 +206,9 @@
 	if errors.As(err, &refusal) {
 		return 0 // waiting would not change it
 	}
+	if a.options.Balance.Off.Has(mechanism.Holding) {
+		return 0
+	}
 	limit := a.request.Route.LatencyTarget / endpointWaitDivisor
 	if noEndpoint != nil && noEndpoint.HeldFor > limit {
 		return 0 // no endpoint will be available in time
@@ -302,7 +306,7 @@
 // firstResponseTimeout returns how long the endpoint may take until its response
 // starts, 0 for no limit.
 func (a *activeRequest) firstResponseTimeout() time.Duration {
-	if !a.request.Route.SafeToRetry() || a.attempts.Runs+1 >= a.attempts.MaxRuns {
+	if a.options.Balance.Off.Has(mechanism.Patience) || !a.request.Route.SafeToRetry() || a.attempts.Runs+1 >= a.attempts.MaxRuns {
 		return 0
 	}
 	return max(firstResponseTimeoutFactor*max(a.request.Route.LatencyTarget, a.choice.ExpectedWait), minFirstResponseTimeout)
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -10,11 +10,15 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/admission"
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 )
 
 // admit returns nil if the request is to be sent to its chosen endpoint now, and otherwise a
 // *admission.Refusal. Router.mu must be held.
 func (a *activeRequest) admit(now time.Time, choice balance.Choice) error {
+	if a.options.Balance.Off.Has(mechanism.AdmissionByEnd) {
+		return nil
+	}
 	if refusal := a.admission.Decide(now, a.admissionRequest(now, choice)); refusal != nil {
 		return refusal
 	}
--- a/internal/forward/outcomes.go
+++ b/internal/forward/outcomes.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 	"github.com/trefoilkeel/trefoilkeel/internal/quarantine"
 )
 
@@ -72,7 +73,7 @@
 // checkQuarantine returns a *QuarantinedError if the request must be kept from endpoints.
 func (a *activeRequest) checkQuarantine() error {
 	quarantined := a.quarantined.Load()
-	if quarantined == nil || len(*quarantined) == 0 {
+	if quarantined == nil || len(*quarantined) == 0 || a.options.Balance.Off.Has(mechanism.Quarantine) {
 		return nil
 	}
 	for _, key := range a.quarantineKeys() {
--- a/internal/forward/shares.go
+++ b/internal/forward/shares.go
@@ -7,6 +7,7 @@
 
 	"github.com/trefoilkeel/trefoilkeel/internal/admission"
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/mechanism"
 	"github.com/trefoilkeel/trefoilkeel/internal/share"
 )
 
@@ -82,7 +83,7 @@
 	defer a.mu.Unlock()
 	workspace := share.KeyOf(a.request.Workspace)
 	a.shares.meter.AddOffered(now, a.request.shareClass(), workspace, 0, a.request.work())
-	a.outsideShare = !a.shares.gate.Take(now, a.request.shareClass(), workspace)
+	a.outsideShare = !a.options.Balance.Off.Has(mechanism.Shares) && !a.shares.gate.Take(now, a.request.shareClass(), workspace)
 }
 
 // recordRefusedWork records a request that is refused because there was no room for it in time.
