Learn no speed from error responses

Cause: the time of an error response counted as that of a first event. An endpoint that reports errors at once was taken for a quick one and attracted requests; callers' returns and misses were counted from it, too. Change: only successful responses are recorded as first events.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -346,7 +346,7 @@
 	}
 	speed := &in.model.speed
 	tokens := pendingTokens + prefillTokens
-	wait := speed.prefillTime(tokens) + speed.step(running)*time.Duration(1+tokens/prefillChunkTokens)
+	wait := speed.prefillTime(tokens) + speed.chunkSteps(tokens, running)
 	slots := e.Slots
 	if slots == 0 {
 		slots = defaultSlots
--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -167,7 +167,7 @@
 	if a.crossDomain {
 		took -= t.config.CrossDomainRoundTrip
 	}
-	t.model(a.endpoint.Service).speed.recordPrefill(a.load.prefillTokens+a.prefillTokens, took)
+	t.model(a.endpoint.Service).speed.recordPrefill(a.load.prefillTokens+a.prefillTokens, a.load.running, took)
 }
 
 // RecordEvent records an event of a stream, from whose pauses the time of a step is
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -16,7 +16,8 @@
 
 // Limits of what is learned of an engine's speed.
 const (
-	speedSamples       = 64  // kept of each kind
+	prefillSamples     = 256 // kept of prompts
+	stepSamples        = 64  // kept of steps
 	minSpeedSamples    = 16  // below which the start values hold
 	fullWeightSamples  = 32  // from which on they count for nothing
 	speedUpdateSamples = 4   // new samples after which the estimate is computed again
@@ -29,8 +30,8 @@
 	minLengthRatio = 1.3
 	// prefillQuantile and fixedTimeQuantile are the fractions of the longer and of the
 	// shorter prompts that are quicker than one that meets no other work.
-	prefillQuantile   = 0.15
-	fixedTimeQuantile = 0.2
+	prefillQuantile   = 0.1
+	fixedTimeQuantile = 0.15
 	prefillFitRounds  = 6 // in which both converge
 	// maxPendingShare is how many tokens may wait at the engine when a prompt is sent,
 	// relative to its own, for its time to count.
@@ -46,10 +47,11 @@
 	gapSampleInterval = 100 * time.Millisecond
 )
 
-// sampleRing keeps the latest speedSamples pairs of a load and a time.
+// sampleRing keeps the latest pairs of a load and a time, up to its capacity.
 type sampleRing struct {
-	values [speedSamples]speedSample
-	count  int // of all samples ever added
+	capacity int
+	values   []speedSample
+	count    int // of all samples ever added
 }
 
 // speedSample is a load, in prompt tokens or running requests, and the time measured
@@ -61,14 +63,18 @@
 
 // add reports whether an estimate is due.
 func (r *sampleRing) add(s speedSample) bool {
-	r.values[r.count%speedSamples] = s
+	if len(r.values) < r.capacity {
+		r.values = append(r.values, s)
+	} else {
+		r.values[r.count%r.capacity] = s
+	}
 	r.count++
 	return r.count >= minSpeedSamples && r.count%speedUpdateSamples == 0
 }
 
 // known returns a copy of the samples, in no order.
 func (r *sampleRing) known() []speedSample {
-	return slices.Clone(r.values[:min(r.count, speedSamples)])
+	return slices.Clone(r.values)
 }
 
 // weight returns how much an estimate from the samples counts beside the start value,
@@ -88,7 +94,7 @@
 }
 
 func newEngineSpeed() engineSpeed {
-	var s engineSpeed
+	s := engineSpeed{prefills: sampleRing{capacity: prefillSamples}, steps: sampleRing{capacity: stepSamples}}
 	s.resetToStart()
 	return s
 }
@@ -103,14 +109,21 @@
 	return s.stepTime + time.Duration(running)*s.stepPerRequest
 }
 
+// chunkSteps returns the time of the steps that an engine makes while it prefills tokens.
+func (s *engineSpeed) chunkSteps(tokens, running int) time.Duration {
+	return s.step(running) * time.Duration(1+tokens/prefillChunkTokens)
+}
+
 // work scales a time that stands for work of the engine at the start values.
 func (s *engineSpeed) work(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * float64(s.prefillPerToken) / float64(startPrefillPerToken))
 }
 
 // recordPrefill records the time to the first event of a prompt of which tokens were to
-// be prefilled, those that waited at the engine included.
-func (s *engineSpeed) recordPrefill(tokens int, took time.Duration) {
+// be prefilled, those that waited at the engine included, while requests ran. The steps between the
+// chunks of the prompt do not count.
+func (s *engineSpeed) recordPrefill(tokens, running int, took time.Duration) {
+	took -= s.chunkSteps(tokens, running)
 	if s.prefills.add(speedSample{load: float64(tokens), took: took}) {
 		s.estimatePrefill()
 	}
@@ -175,7 +188,7 @@
 	samples := s.steps.known()
 	slices.SortFunc(samples, compareLoads)
 	few, many := typicalStep(samples[:len(samples)/2]), typicalStep(samples[len(samples)/2:])
-	if spread := many.load - few.load; s.steps.count >= speedSamples && spread >= minRunningSpread {
+	if spread := many.load - few.load; s.steps.count >= stepSamples && spread >= minRunningSpread {
 		growth := float64(many.took-few.took) / spread
 		bounded := max(growth, float64(startStepPerRequest)/maxSpeedRatio) // steps may not grow at all
 		if learned, ok := blend(startStepPerRequest, bounded, s.steps.weight()); ok {
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -33,11 +33,11 @@
 func (s *engineSpeed) teach(e testEngine, samples int, random *rand.Rand) {
 	for range samples {
 		tokens := 500 + random.IntN(6000)
-		took := e.firstEvent + e.prefill(tokens) + time.Duration(random.IntN(10))*time.Millisecond
+		took := e.firstEvent + e.prefill(tokens) + e.step*time.Duration(1+tokens/prefillChunkTokens) + time.Duration(random.IntN(10))*time.Millisecond
 		if random.IntN(10) < 3 {
 			took += time.Duration(random.IntN(200)) * time.Millisecond
 		}
-		s.recordPrefill(tokens, took)
+		s.recordPrefill(tokens, 0, took)
 		running := 2 + random.IntN(30)
 		step := e.step + time.Duration(running)*e.stepPerRequest + time.Duration(random.IntN(500)-250)*time.Microsecond
 		if random.IntN(4) == 0 {
@@ -72,7 +72,7 @@
 // estimates worse than the tolerance of learned ones.
 func TestStartValuesHoldUntilEnoughIsMeasured(t *testing.T) {
 	g := NewWithT(t)
-	for samples := range speedSamples {
+	for samples := range prefillSamples {
 		speed := newEngineSpeed()
 		speed.teach(usualSpeed, samples, rand.New(rand.NewPCG(2, uint64(samples))))
 		speed.expectNear(g, usualSpeed)
@@ -92,7 +92,7 @@
 		speed := newEngineSpeed()
 		for range 20 {
 			speed.teach(e, 9, random)
-			speed.recordPrefill(500+random.IntN(6000), 5*time.Second)
+			speed.recordPrefill(500+random.IntN(6000), 0, 5*time.Second)
 			speed.recordStep(random.IntN(30), 200*time.Millisecond)
 		}
 		speed.expectNear(g, e)
@@ -104,7 +104,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		speed := newEngineSpeed()
 		for range rapid.IntRange(1, 200).Draw(t, "samples") {
-			speed.recordPrefill(rapid.IntRange(0, 200_000).Draw(t, "tokens"), time.Duration(rapid.IntRange(-1000, 100_000).Draw(t, "ms"))*time.Millisecond)
+			speed.recordPrefill(rapid.IntRange(0, 200_000).Draw(t, "tokens"), 0, time.Duration(rapid.IntRange(-1000, 100_000).Draw(t, "ms"))*time.Millisecond)
 			speed.recordStep(rapid.IntRange(0, 500).Draw(t, "running"), time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "us"))*time.Microsecond)
 		}
 		for name, ratio := range map[string]float64{"prefill": float64(speed.prefillPerToken) / float64(startPrefillPerToken),
@@ -212,7 +212,7 @@
 	random := rand.New(rand.NewPCG(8, 8))
 	for range 200 {
 		tokens := 500 + random.IntN(6000)
-		table.model("llm").speed.recordPrefill(tokens, slowEngine.firstEvent+slowEngine.prefill(tokens))
+		table.model("llm").speed.recordPrefill(tokens, 0, slowEngine.firstEvent+slowEngine.prefill(tokens))
 	}
 	send := func(id string) *Attempt {
 		a := table.RecordSent(epoch, summary(1), Choice{ID: id})
--- a/internal/forward/outcomes_test.go
+++ b/internal/forward/outcomes_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -239,3 +240,27 @@
 	g.Expect(serve().Responses).To(BeEmpty())
 	g.Expect(serve().Responses).To(HaveKey(broken[0].Endpoint))
 }
+
+// Guards against an endpoint that attracts requests because it reports errors sooner than others run them.
+func TestErrorsSayNothingOfTheSpeedOfAnEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	expectedWait := func() time.Duration {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.Router.mu.Lock()
+		defer f.Router.mu.Unlock()
+		choice, err := f.table.Choose(time.Now(), balance.Request{Service: "s", PromptTokens: 3000, LatencyTarget: time.Second})
+		g.Expect(err).NotTo(HaveOccurred())
+		return choice.ExpectedWait
+	}
+	before := expectedWait()
+	for range 40 {
+		r := newRequest(catalog.EventStream, true)
+		r.PromptTokens = 3000
+		w := httptest.NewRecorder()
+		g.Expect(f.Serve(context.Background(), w, r)).To(Succeed())
+		g.Expect(w.Code).To(Equal(http.StatusInternalServerError))
+	}
+	g.Expect(expectedWait()).To(Equal(before))
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -63,7 +63,10 @@
 		a.recordFailure(ctx, err)
 		return retry.Unknown, errors.Wrap(err, "read response")
 	}
-	a.recordResponse()
+	// How soon an endpoint reports an error says nothing of how fast it runs requests.
+	if isSuccess(x.Response.StatusCode) {
+		a.recordResponse()
+	}
 	if len(body) > maxBufferedResponseBytes {
 		return a.forwardLong(ctx, x, body)
 	}
