--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -287,7 +287,7 @@
 	if (!isMember && !n.cfg.AdmitUnknownHosts) || member.DiskID == m.DiskID || slices.Contains(members.RetiredDiskIDs, m.DiskID) {
 		return
 	}
-	if p := n.progress[m.From]; p != nil && n.now-p.lastReplyAt < recentContactElectionTimeouts*n.cfg.ElectionTimeout {
+	if p := n.progress[m.From]; p != nil && !n.answersUnacknowledgedAppend(m, p) && n.now-p.lastReplyAt < recentContactElectionTimeouts*n.cfg.ElectionTimeout {
 		return
 	}
 	if m.URL != "" {
@@ -298,6 +298,13 @@
 	_, _, _ = n.proposeMembership(members.withMember(member))
 }
 
+// answersUnacknowledgedAppend reports whether a join answers an append of this leader that is newer
+// than any that the registered data folder has answered: the host has another folder now. A join
+// from before such an append must not replace the folder.
+func (n *Node) answersUnacknowledgedAppend(join Message, p *progress) bool {
+	return join.Term == n.hardState.Term && join.SentAt > p.ackedSentAt
+}
+
 // forwardJoin sends a join to the leader, which the joining host may not know. A
 // join that was forwarded once is not forwarded again.
 func (n *Node) forwardJoin(m Message) {
@@ -316,7 +323,7 @@
 	if m.Type != MsgAppend || (n.hardState.ClusterID != 0 && members.isRegistered(n.cfg.ID, n.cfg.DiskID)) {
 		return
 	}
-	n.sendNow(Message{Type: MsgJoin, To: m.From, URL: n.cfg.URL, Ephemeral: n.cfg.Ephemeral})
+	n.sendNow(Message{Type: MsgJoin, To: m.From, URL: n.cfg.URL, Ephemeral: n.cfg.Ephemeral, Term: m.Term, SentAt: m.SentAt})
 }
 
 // handleJoinReply records that another host has an empty data folder. Replies to
--- a/internal/consensus/open_network_test.go
+++ b/internal/consensus/open_network_test.go
@@ -133,6 +133,31 @@
 		Expect(lost.appliedIndex).To(Equal(net.activeLeader().appliedIndex))
 	})
 
+	// All hosts lose power, one voter its disk too. The new leader has had no reply of the lost folders, and
+	// must not wait for one.
+	ginkgo.It("readmit hosts with new folders within an election timeout after a loss of power of all", func() {
+		ephemeral := map[uint64]bool{2: true, 4: true, 6: true}
+		net := newOpenNetwork(ginkgo.GinkgoT(), equalClockRates(openNetworkSize), ephemeral)
+		net.runFor(8 * time.Second)
+		Expect(voterIDs(net.activeLeader())).To(Equal([]uint64{1, 3, 5}))
+		for _, h := range net.hosts {
+			net.endProcess(h, ephemeral)
+		}
+		net.wipeDisk(net.hosts[0])
+		net.messages = nil // lost with the connections
+		net.runFor(time.Second)
+		net.startAll()
+		for net.activeLeader() == nil {
+			net.runFor(10 * time.Millisecond)
+		}
+		net.runFor(DefaultElectionTimeout)
+		for _, h := range net.hosts {
+			Expect(h.appliedIndex).To(BeNumerically(">", 0), "host %d", h.id)
+		}
+		net.runFor(DefaultElectionTimeout)
+		Expect(voterIDs(net.activeLeader())).To(Equal([]uint64{1, 3, 5}))
+	})
+
 	ginkgo.It("never bootstrap a second cluster from a wiped disk", func() {
 		net := newOpenNetwork(ginkgo.GinkgoT(), equalClockRates(openNetworkSize), map[uint64]bool{2: true, 4: true, 6: true})
 		net.runFor(8 * time.Second)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -101,13 +101,13 @@
 	DiskID                     uint64 // data folder of the sender
 	ToDiskID                   uint64 // data folder of the receiver; 0 for any
 	ClusterID                  uint64 // cluster of the sender; 0 if its data folder is empty
-	Term                       uint64
+	Term                       uint64 // join: of the append that it answers, or 0
 	Index                      uint64 // append: entry before Entries; append reply: newest match or conflict hint; vote: last entry
 	LogTerm                    uint64 // term of the entry at Index
 	CommitIndex                uint64
 	Reject                     bool
 	LeadershipTransfer         bool          // vote: the lease of the old leader has ended, so voters need not withhold their votes
-	SentAt                     time.Duration // leader's clock at sending, echoed by the follower
+	SentAt                     time.Duration // leader's clock at sending, echoed by the follower; join: of the append that it answers, or 0
 	RunNumber                  uint64        // of the sender's process; increases with each start
 	ReplySequence              uint64        // append reply: increases with each reply under one RunNumber
 	RequesterOrForwarderDiskID uint64        // join reply: DiskID of the joining host; join: DiskID of the host that forwarded it, or 0
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -570,5 +570,5 @@
 		"service", r.Service, "endpoint", a.choice.ID, "version", a.choice.Version, "resumed", r.ResumedID, "resumed_after", r.LastEventID, "cross", a.choice.CrossDomain, "home", a.choice.Preferred, "expected_ms", a.choice.ExpectedWait.Milliseconds(),
 		"unread", a.choice.PrefillTokens, "copied", a.choice.CopiedTokens, "copy_from", a.choice.CopySourceAddress, "report_age_ms", a.choice.ReportAge.Milliseconds(), "candidates", a.choice.CandidateCount,
 		"urgency", r.Urgency, "outside_share", a.outsideShare, "status", a.writtenStatus, "runs", a.attempts.Runs, "refused", a.attempts.Refusals, "resumes", a.resumeCount,
-		"first_ms", firstResponseMS, "pause_ms", a.longestGap.Milliseconds(), "took_ms", now.Sub(r.ReceivedAt).Milliseconds(), "left", ctx.Err() != nil, "error", errorText(err))
+		"first_ms", firstResponseMS, "target_ms", r.Route.LatencyTarget.Milliseconds(), "pause_ms", a.longestGap.Milliseconds(), "pause_target_ms", r.Route.GapTarget.Milliseconds(), "took_ms", now.Sub(r.ReceivedAt).Milliseconds(), "left", ctx.Err() != nil, "error", errorText(err))
 }
