Use what the retry budget allows for each request

Cause: the budget used 0.45 of the retries per request and of the reserve. The reserve is saved and refilled within one window, so that half of it is right; what requests earn beyond the saved credit is lost, so a window earns it once. Change: 0.9 of the retries per request. Ruled out: a larger saved credit (two windows would spend it).

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -19,16 +19,20 @@
 	updatedAt time.Time
 }
 
-// usableFraction is the part of the shared budget that is used. The rest covers
-// entries whose joining or leaving is not known to all others yet, and credit saved
-// before a window and spent within it.
-const usableFraction = 0.45
+// usableReserveFraction is the part of the shared reserve that is refilled in a window. As much
+// may have been saved before it and be spent within it. The rest covers entries whose joining or
+// leaving is not known to all others yet. usableRatioFraction is the part of the retries per
+// request: what they earn beyond the saved credit is lost, so a window earns it once.
+const (
+	usableReserveFraction = 0.45
+	usableRatioFraction   = 0.9
+)
 
 // NewBudget returns the budget of one of the given number of entries. ratio is the
 // number of retries per request. reserve is the number of further retries per window
 // that all entries together may make.
 func NewBudget(ratio float64, reserve int, window time.Duration, entries int) *Budget {
-	return &Budget{ratio: ratio * usableFraction, reserve: float64(reserve) * usableFraction, window: window,
+	return &Budget{ratio: ratio * usableRatioFraction, reserve: float64(reserve) * usableReserveFraction, window: window,
 		entries: max(entries, 1), credits: map[string]*serviceCredit{}}
 }
 
