Keep urgent streams from paths and endpoints on which they pause too long

Cause: late quality-notes are pauses. Nothing that chooses sees gaps of streams. Change: the gaps of urgent streams are counted by endpoint and by the failure domain that they come from; the excess of missed ones over the service's, times the events of a stream, is the chance that it misses its target, which costs as much as a first event at the latency target.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -171,6 +171,7 @@
 	answeredAt          time.Time
 	cachedParts         *partCache
 	cacheResidence      time.Duration // how long an unused cached part stays, estimated when peerLoad was set
+	pauses              pauseRate     // of urgent streams
 	ejection            ejection
 	leaving             bool      // it has announced its departure in a response
 	heldUntil           time.Time // it has asked for no requests before this time
@@ -193,6 +194,7 @@
 	lastUrgentAt          map[string]time.Time // of the last choice for an urgent stream
 	reservedTargets       map[string]*reservedTarget
 	waitFactors           map[string]*waitFactor
+	pathPauses            map[pathKey]*pauseRate
 	cacheCapacityTokens   map[string]int // of one engine, 0 if not known
 	leastUrgentRanks      map[string]int
 	engineModels          map[string]*engineModel
@@ -203,7 +205,7 @@
 // New returns an empty table.
 func New(config Config) *Table {
 	return &Table{config: config.withDefaults(), endpoints: map[string]*endpoint{}, byKey: map[EndpointKey]*endpoint{}, byIncarnation: map[uint64]*endpoint{}, services: map[string][]*endpoint{}, knownLoadDomains: map[string]bool{}, lastUrgentAt: map[string]time.Time{},
-		reservedTargets: map[string]*reservedTarget{}, waitFactors: map[string]*waitFactor{}, leastUrgentRanks: map[string]int{}, engineModels: map[string]*engineModel{}, cacheCapacityTokens: map[string]int{}, copyTimesPerToken: map[string]time.Duration{}}
+		reservedTargets: map[string]*reservedTarget{}, waitFactors: map[string]*waitFactor{}, leastUrgentRanks: map[string]int{}, engineModels: map[string]*engineModel{}, cacheCapacityTokens: map[string]int{}, pathPauses: map[pathKey]*pauseRate{}, copyTimesPerToken: map[string]time.Duration{}}
 }
 
 // Update applies a change of the directory. maxRequests limits this entry's requests
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -239,7 +239,7 @@
 	if e != in.preferred {
 		c.Cost += t.repeatedPrefillCost(r, max(in.sharedTokens-cached, 0))
 	}
-	c.Cost += e.interferenceCost(in, load, c.PrefillTokens) + e.degradationCost(in, slowdown)
+	c.Cost += e.interferenceCost(in, load, c.PrefillTokens) + e.degradationCost(in, slowdown) + t.pauseCost(e, in)
 	c.Cost += time.Duration(unitHash(in.spreadSeed^e.idHash) * float64(in.spread))
 	if in.reservationActive && r.PromptTokens > 0 {
 		c.Cost += e.isolationCost(in, load, c.PrefillTokens)
--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -20,6 +20,7 @@
 	sampleCount  int
 	lastOverhead time.Duration
 	speed        engineSpeed
+	pauses       pauseRate // of urgent streams
 	// urgentPromptRatio is the mean number of prompt tokens to be prefilled for each output
 	// token of an urgent stream, 0 if not known.
 	urgentPromptRatio float64
@@ -178,7 +179,11 @@
 	}
 	e, previous := a.endpoint, a.lastEventAt
 	a.lastEventAt = now
-	if previous.IsZero() || now.Sub(e.gapSampledAt) < gapSampleInterval {
+	if previous.IsZero() {
+		return
+	}
+	t.recordPause(now, a, now.Sub(previous))
+	if now.Sub(e.gapSampledAt) < gapSampleInterval {
 		return
 	}
 	e.gapSampledAt = now
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -32,13 +32,14 @@
 	Patience                        // second attempt while the first one is silent
 	CacheLimit                      // bound of the prompt tokens in flight at an engine
 	Quarantine                      // of prompt parts and requests that crash endpoints
+	PauseRate                       // cost of endpoints and paths on which urgent streams pause too long
 )
 
 var names = map[string]Set{
 	"reservation": Reservation, "interference": Interference, "admission-by-end": AdmissionByEnd, "admission-by-wait": AdmissionByWait,
 	"shares": Shares, "copies": Copies, "affinity": Affinity, "cache-awareness": CacheAwareness, "spread": Spread, "ejection": Ejection,
 	"error-rate": ErrorRate, "slowdown": Slowdown, "host-factor": HostFactor, "wait-factor": WaitFactor, "holding": Holding,
-	"learned-speed": LearnedSpeed, "returns-first": ReturnsFirst, "patience": Patience, "cache-limit": CacheLimit, "quarantine": Quarantine,
+	"learned-speed": LearnedSpeed, "returns-first": ReturnsFirst, "patience": Patience, "cache-limit": CacheLimit, "quarantine": Quarantine, "pause-rate": PauseRate,
 }
 
 // UnknownError reports a name that is none of a mechanism.
--- a/internal/mechanism/mechanism_test.go
+++ b/internal/mechanism/mechanism_test.go
@@ -36,5 +36,5 @@
 	s, err := Parse(strings.Join(all, ","))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s).To(Equal(union))
-	g.Expect(union).To(Equal(Quarantine<<1 - 1))
+	g.Expect(union).To(Equal(PauseRate<<1 - 1))
 }
