Let prompts behind a queue wait for their turn in place of a refusal

Cause: the least urgent prompts were refused where their prefill would start after 0.6 of the target, after they had been held for an eighth of it. A caller returns at another entry, which does not know it. Change: such a request waits at the entry for up to its target and at most a quarter of its time left; it is begun as soon as a queue is short enough, others that can still be in time go first, and after its turn it is begun behind up to three targets. What could not begin even then is refused as before.

--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -42,12 +42,20 @@
 	switch {
 	case r.OutsideShare:
 		fraction *= outsideShareWaitFactor
-	case r.Returned && !t.config.Off.Has(mechanism.ReturnsFirst):
+	case r.Waited && !t.config.Off.Has(mechanism.ReturnsFirst):
 		fraction *= waitFactorPerRank
 	}
 	return float64(c.QueueWait()) > fraction*float64(r.LatencyTarget)
 }
 
+// isDeferrable reports whether a request whose prefill would start too late now is begun once it has
+// waited its turn, though its prefill starts no sooner then.
+func (t *Table) isDeferrable(r *Request, c Choice) bool {
+	waited := *r
+	waited.Waited = true
+	return !t.exceedsAdmissionWait(&waited, c)
+}
+
 // maxPromptCacheFraction is the fraction of an engine's cache that the prompts in
 // flight may fill. Above it they evict cached prompt parts, every prompt is
 // prefilled in full again, and the engines spend their time on repeated work.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,7 +32,7 @@
 	RouteRank            int           // urgency rank of the route, 0 is the most urgent
 	LatencyTarget        time.Duration // for the first event, or for the whole answer without a stream
 	GapTarget            time.Duration // target for the longest pause between events; 0 without a stream
-	Returned             bool          // the caller was refused, and returns at its Retry-After
+	Waited               bool          // it was refused and returns at its Retry-After, or has waited its turn here
 	TriedEndpoints       []string      // IDs of endpoints that earlier attempts were sent to
 	OutsideShare         bool          // its workspace takes more than its share, see package share
 	OnlyVersion          bool          // the request continues a stream that Version began
@@ -106,6 +106,7 @@
 	Limited      int           // this entry has no permit under the rate that the endpoint takes
 	Full         int           // at the limit of requests from this entry, or of prompt tokens in flight
 	TooLate      int           // prefill would start too late for the request to meet its target
+	Deferrable   bool          // none is too late for the request once it has waited its turn
 	ShortestWait time.Duration // shortest expected wait among the endpoints that are too late
 	HeldFor      time.Duration // until the first endpoint that asked for no requests takes some
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -655,3 +655,28 @@
 	_, err := newFleet(3).Choose(epoch, idle)
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// A prompt of the least urgent class meets a queue at every engine, behind which it would begin after 0.6 of its
+// target: others go first. Once it has waited its turn it is begun, unless the queue is several targets long.
+func TestPromptsBehindAQueueAreDeferredBeforeTheyAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		queuedTokens int
+		deferrable   bool
+	}{{100_000, true}, {1_000_000, false}} {
+		g := NewWithT(t)
+		table := newFleet(1)
+		for id := range table.endpoints {
+			table.RecordSent(epoch, Request{Service: "llm", PromptTokens: c.queuedTokens}, Choice{ID: id, PrefillTokens: c.queuedTokens})
+		}
+		r := longPrompt(1, 2500)
+		r.RouteRank = 2
+		_, err := table.Choose(epoch, r)
+		var none *NoEndpointError
+		g.Expect(errors.As(err, &none)).To(BeTrue())
+		g.Expect(none.TooLate).To(BeNumerically(">", 0))
+		g.Expect(none.Deferrable).To(Equal(c.deferrable))
+		r.Waited = true
+		_, err = table.Choose(epoch, r)
+		g.Expect(err == nil).To(Equal(c.deferrable), "%v", err)
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -42,7 +42,7 @@
 	t.recordMissed(candidates, &in, choice.Cost)
 	choice.CandidateCount = len(candidates)
 	if t.exceedsAdmissionWait(&r, choice) {
-		none.TooLate, none.ShortestWait = len(candidates), choice.ExpectedWait
+		none.TooLate, none.ShortestWait, none.Deferrable = len(candidates), choice.ExpectedWait, t.isDeferrable(&r, choice)
 		return Choice{}, &none
 	}
 	return choice, nil
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -31,6 +31,10 @@
 	// divided by endpointWaitDivisor: a caller that is refused early can retry in time.
 	endpointWaitDivisor  = 8
 	endpointPollInterval = 20 * time.Millisecond
+	// A request that would wait too long at every endpoint waits here for its turn, up to its latency
+	// target, and at most for its time left divided by deferralDivisor: others go first that can still
+	// be in time. Then it is sent.
+	deferralDivisor = 4
 	// If no endpoint of the service is known, a request waits for one up to its remaining
 	// time divided by discoveryWaitDivisor, and at most maxDiscoveryWait.
 	maxDiscoveryWait     = time.Second
@@ -152,14 +156,14 @@
 // it polls, for as long as endpointWait allows.
 func (a *activeRequest) chooseEndpoint(ctx context.Context) error {
 	request := a.balanceRequest()
-	started := time.Now()
+	started, deferral := time.Now(), a.deferral()
 	for {
 		if err := a.checkQuarantine(); err != nil {
 			return err
 		}
 		now := time.Now()
 		a.mu.Lock()
-		request.Returned = a.admission.Returned(now, a.fingerprint)
+		request.Waited = a.admission.Returned(now, a.fingerprint) || now.Sub(started) >= deferral
 		choice, err := a.table.Choose(now, request)
 		if err == nil {
 			err = a.admit(now, choice)
@@ -175,7 +179,7 @@
 			a.headReceived, a.attemptEvents, a.servedRecorded, a.began, a.sentAt = false, 0, false, false, now
 			return nil
 		}
-		if now.Sub(started) > a.endpointWait(err) || !wait.For(ctx, endpointPollInterval) {
+		if now.Sub(started) > a.endpointWait(err, deferral) || !wait.For(ctx, endpointPollInterval) {
 			return err
 		}
 	}
@@ -192,9 +196,10 @@
 	return request
 }
 
-// endpointWait returns how long to wait for an endpoint after err. If no endpoint of
+// endpointWait returns how long to wait for an endpoint after err, where deferral is how long the
+// request waits for its turn. If no endpoint of
 // the service is known, this entry host may not have received the directory yet.
-func (a *activeRequest) endpointWait(err error) time.Duration {
+func (a *activeRequest) endpointWait(err error, deferral time.Duration) time.Duration {
 	var noEndpoint *balance.NoEndpointError
 	if errors.As(err, &noEndpoint) && noEndpoint.Known == 0 {
 		return min(time.Until(a.request.Deadline)/discoveryWaitDivisor, maxDiscoveryWait)
@@ -209,6 +214,9 @@
 	if a.options.Balance.Off.Has(mechanism.Holding) {
 		return 0
 	}
+	if noEndpoint != nil && noEndpoint.Deferrable {
+		return deferral + endpointPollInterval
+	}
 	limit := a.request.Route.LatencyTarget / endpointWaitDivisor
 	if noEndpoint != nil && noEndpoint.HeldFor > limit {
 		return 0 // no endpoint will be available in time
@@ -216,6 +224,11 @@
 	return limit
 }
 
+// deferral returns how long a request waits for its turn.
+func (a *activeRequest) deferral() time.Duration {
+	return min(a.request.Route.LatencyTarget, max(time.Until(a.request.Deadline), 0)/deferralDivisor)
+}
+
 // sendAttempt makes one attempt. It returns retry.Answered only if the response to
 // the caller is complete.
 func (a *activeRequest) sendAttempt(ctx context.Context) (retry.Outcome, error) {
