Hand usage over at a stop until a control host has all of it

Tests: two failed calls and a host that starts anew between (fails before: one call); no control host at all ends after the bound.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -23,6 +23,9 @@
 	// streamStartInterval is the longest time until starts of streams are reported. It is shorter
 	// than the time to a first event, before which no caller takes a stream up.
 	streamStartInterval = 300 * time.Millisecond
+	// handOverTimeout is how long a stopping entry tries to hand its usage over. It is shorter than
+	// the time in which a host is to stop.
+	handOverTimeout = 2 * time.Second
 	// maxPendingBroken limits the broken attempts that no control host has acknowledged.
 	maxPendingBroken = 256
 	// maxPendingPlacements limits the placements, and the served parts, that no control host
@@ -71,12 +74,29 @@
 		}
 	}
 	if x.usage != nil {
-		x.usage.close()
-		_, _ = x.exchange(context.WithoutCancel(ctx), fleet.LoadReport{Urgent: true}) // logged there
+		x.handOverUsage(context.WithoutCancel(ctx))
 	}
 	return nil
 }
 
+// handOverUsage ends the windows of this process and reports them until a control host has received
+// all, for handOverTimeout at most: a call may fail, and a host that has started anew needs all.
+func (x *loadExchange) handOverUsage(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	x.usage.close()
+	for {
+		_, err := x.exchange(ctx, fleet.LoadReport{Urgent: true})
+		if !x.usage.hasEnded() {
+			return
+		}
+		if !wait.For(ctx, urgentExchangeInterval) {
+			x.entry.options.Logger.Warn("usage not handed over, no control host took it in time", "error", err)
+			return
+		}
+	}
+}
+
 // takeOutcomes adds the outcomes of attempts since the last exchange to the pending ones.
 func (x *loadExchange) takeOutcomes() {
 	taken, pending := x.entry.router.TakeOutcomes(), &x.pendingOutcomes
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// hasEnded reports whether a window has ended that no control host has acknowledged.
+func (u *usageCounter) hasEnded() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.counter.HasFinal()
+}
+
 // isDue reports whether a window has ended that no control host has acknowledged, or a report of
 // the current one is due.
 func (u *usageCounter) isDue(now time.Time) bool {
--- a/internal/entry/usage_test.go
+++ b/internal/entry/usage_test.go
@@ -147,6 +147,46 @@
 	g.Expect(exchanger.received.Urgent).To(BeTrue())
 }
 
+// Guards against last counts that are lost with a call that fails, and with a control host that has started
+// anew and answers without the windows before.
+func TestStopHandsOverUntilAHostHasAllCounts(t *testing.T) {
+	g := NewWithT(t)
+	exchanger := &fakeExchanger{usageLife: 1}
+	x, ended, present := newUsageExchange(exchanger)
+	g.Eventually(func() []usage.Report { return exchangeUsage(x) }).Should(BeEmpty())
+	present.Final, present.Last = true, true
+	var received [][]usage.Report
+	calls := 0
+	exchanger.onCall = func() {
+		calls++
+		if exchanger.received.Usage != nil {
+			received = append(received, exchanger.received.Usage)
+		}
+		exchanger.received = fleet.LoadReport{}
+		exchanger.unreachable = calls <= 2
+		if calls == 3 {
+			exchanger.usageLife++ // the host has started anew
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(x.run(ctx)).To(Succeed())
+	received = append(received, exchanger.received.Usage)
+	g.Expect(received).To(Equal([][]usage.Report{{present}, {ended, present}}))
+	g.Expect(x.usage.hasEnded()).To(BeFalse())
+}
+
+// A host that counts no usage, or none, ends the hand-over after handOverTimeout.
+func TestHandOverIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	exchanger := &fakeExchanger{unreachable: true}
+	x, _, _ := newUsageExchange(exchanger)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(x.run(ctx)).To(Succeed())
+	g.Expect(x.usage.hasEnded()).To(BeTrue())
+}
+
 // After a report of all counts, the last one still says that the window has ended here, so that the
 // control hosts needn't wait for this entry.
 func TestStopWithoutNewCountsEndsTheWindow(t *testing.T) {
