Limit the lines of a response's head

Change: a head has at most 256 lines, checked before each further read, so that lines of a body that come with the end of the head don't count (test).

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -128,6 +129,19 @@
 	g.Expect(s.connections.Load()).To(Equal(int32(1)))
 }
 
+// A body of many short lines that comes with the head is no part of it.
+func TestShortLinesAfterTheHeadAreAccepted(t *testing.T) {
+	g := NewWithT(t)
+	body := strings.Repeat(":\n", 1000)
+	s := startServer(t, func(int, int, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	})
+	c := New()
+	for range 3 {
+		g.Expect(post(c, s, nil)).To(Equal(body))
+	}
+}
+
 // FuzzReadFinalResponse checks that no bytes make the reader of heads panic, or accept
 // more than maxHeadBytes.
 func FuzzReadFinalResponse(f *testing.F) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -38,6 +39,7 @@
 	// maxHeadBytes limits the status line and headers of a response, together with those
 	// of the interim responses before it.
 	maxHeadBytes    = 32 << 10
+	maxHeadLines    = 256 // of them
 	keepAliveHeader = "Keep-Alive"
 )
 
@@ -263,19 +265,23 @@
 	return &conn{Conn: dialed, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address}, nil
 }
 
-// headLimiter limits the bytes that are read between begin and end. The parser of
-// net/http has no limit of its own for the head of a response.
+// headLimiter limits the bytes and lines that are read between begin and end. The parser of
+// net/http has no limit of its own for the head of a response, and short lines take many times their
+// length once they are parsed.
 type headLimiter struct {
 	io.Reader
-	active    bool
-	remaining int
+	active         bool
+	remaining      int // bytes
+	remainingLines int
 }
 
-func (l *headLimiter) begin() { l.active, l.remaining = true, maxHeadBytes }
+func (l *headLimiter) begin() {
+	l.active, l.remaining, l.remainingLines = true, maxHeadBytes, maxHeadLines
+}
 
 func (l *headLimiter) end() { l.active = false }
 
-// Read fails with a *ProtocolError once the head is longer than maxHeadBytes.
+// Read fails with a *ProtocolError once the head is longer than maxHeadBytes or maxHeadLines.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.active {
 		return l.Reader.Read(p)
@@ -283,8 +289,12 @@
 	if l.remaining <= 0 {
 		return 0, &ProtocolError{Reason: "the head of the answer is too long"}
 	}
+	if l.remainingLines <= 0 {
+		return 0, &ProtocolError{Reason: "the head of the answer has too many lines"}
+	}
 	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.remainingLines -= bytes.Count(p[:n], []byte("\n")) // of the body too, in the last read
 	return n, err
 }
 
