Let turns count less while more urgent streams miss their targets

Cause: prompts that have waited their turn were begun behind up to three targets whatever the state of others. Change: the allowance of a turn falls from all to none as the share of more urgent streams that miss their targets rises to what is tolerated; admission's own observation, no new threshold. Test in package admission.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -105,6 +105,13 @@
 	return known && !now.Before(at)
 }
 
+// Allowance returns from 0 to 1 how far a request of a rank that has waited its turn may be begun behind a
+// queue: 0 while as many streams of a more urgent rank miss their targets as are tolerated, since its
+// work would add to theirs.
+func (c *Controller) Allowance(now time.Time, serviceName string, rank int) float64 {
+	return max(1-c.service(serviceName).moreUrgentMisses(now, rank)/toleratedMisses, 0)
+}
+
 // RecordRefused records the Retry-After of a refused caller.
 func (c *Controller) RecordRefused(now time.Time, fingerprint uint64, returnIn time.Duration) {
 	c.returns.add(now, fingerprint, now.Add(returnIn))
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -205,3 +205,24 @@
 	c.RecordRefused(later, 1<<40, time.Second)
 	g.Expect(len(c.returns.at)).To(Equal(1))
 }
+
+// Digests that have waited their turn are begun behind long queues while the more urgent notes are in time, and
+// the less of that the more notes miss their targets: their work would add to the notes' pauses.
+func TestTurnsAreWorthLessWhileMoreUrgentStreamsAreLate(t *testing.T) {
+	g := NewWithT(t)
+	c := New()
+	g.Expect(c.Allowance(epoch, "llm", 2)).To(Equal(1.0), "nothing is known")
+	last := 1.0
+	for _, missedOfTwenty := range []int{0, 1, 2, 4} {
+		c := New()
+		for i := range 20 {
+			c.RecordStream(epoch, "llm", 0, i < missedOfTwenty)
+			c.RecordStream(epoch, "llm", 2, true)
+		}
+		allowance := c.Allowance(epoch, "llm", 2)
+		g.Expect(allowance).To(BeNumerically("<=", last))
+		last = allowance
+		g.Expect(c.Allowance(epoch, "llm", 0)).To(Equal(1.0), "no rank is more urgent")
+	}
+	g.Expect(last).To(BeZero())
+}
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -64,13 +64,19 @@
 	if r.Rank == 0 || r.Rank < s.leastUrgentRank || float64(r.QueueWait) < minQueueFraction*float64(r.LatencyTarget) {
 		return 0
 	}
+	return max(s.moreUrgentMisses(now, r.Rank)-toleratedMisses, 0) / (1 - toleratedMisses) * maxRefusedShare
+}
+
+// moreUrgentMisses returns the largest share of recent streams that missed their targets among the ranks
+// that are more urgent than the given one.
+func (s *service) moreUrgentMisses(now time.Time, rank int) float64 {
 	missed := 0.0
-	for rank, share := range s.misses {
-		if rank < r.Rank && share.weight(now) >= minWeight {
+	for other, share := range s.misses {
+		if other < rank && share.weight(now) >= minWeight {
 			missed = max(missed, share.value())
 		}
 	}
-	return max(missed-toleratedMisses, 0) / (1 - toleratedMisses) * maxRefusedShare
+	return missed
 }
 
 // decayTime is the time constant of a decayingMean: a burst lasts some seconds.
--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -43,7 +43,7 @@
 	case r.OutsideShare:
 		fraction *= outsideShareWaitFactor
 	case r.Waited && !t.config.Off.Has(mechanism.ReturnsFirst):
-		fraction *= waitFactorPerRank
+		fraction *= 1 + r.Allowance*(waitFactorPerRank-1)
 	}
 	return float64(c.QueueWait()) > fraction*float64(r.LatencyTarget)
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -33,6 +33,7 @@
 	LatencyTarget        time.Duration // for the first event, or for the whole answer without a stream
 	GapTarget            time.Duration // target for the longest pause between events; 0 without a stream
 	Waited               bool          // it was refused and returns at its Retry-After, or has waited its turn here
+	Allowance            float64       // from 0 to 1, how much longer than others it may then wait for its prefill
 	TriedEndpoints       []string      // IDs of endpoints that earlier attempts were sent to
 	OutsideShare         bool          // its workspace takes more than its share, see package share
 	OnlyVersion          bool          // the request continues a stream that Version began
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -669,13 +669,13 @@
 			table.RecordSent(epoch, Request{Service: "llm", PromptTokens: c.queuedTokens}, Choice{ID: id, PrefillTokens: c.queuedTokens})
 		}
 		r := longPrompt(1, 2500)
-		r.RouteRank = 2
+		r.RouteRank, r.Allowance = 2, 1
 		_, err := table.Choose(epoch, r)
 		var none *NoEndpointError
 		g.Expect(errors.As(err, &none)).To(BeTrue())
 		g.Expect(none.TooLate).To(BeNumerically(">", 0))
 		g.Expect(none.Deferrable).To(Equal(c.deferrable))
-		r.Waited = true
+		r.Waited, r.Allowance = true, 1
 		_, err = table.Choose(epoch, r)
 		g.Expect(err == nil).To(Equal(c.deferrable), "%v", err)
 	}
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -163,7 +163,10 @@
 		}
 		now := time.Now()
 		a.mu.Lock()
-		request.Waited = a.admission.Returned(now, a.fingerprint) || now.Sub(started) >= deferral
+		request.Waited, request.Allowance = now.Sub(started) >= deferral, a.admission.Allowance(now, request.Service, request.RouteRank)
+		if a.admission.Returned(now, a.fingerprint) {
+			request.Waited, request.Allowance = true, 1
+		}
 		choice, err := a.table.Choose(now, request)
 		if err == nil {
 			err = a.admit(now, choice)
