Keep learned speeds and start values apart by a wider band

Long prompts take longer for each token, which a linear fit takes for a slow engine. Change: learned values hold from a factor of 1.6 on, the error seen, and until the estimate is within 1.2 again. Test: long prompts in bursts; the old limits switch more than once or take the usual engine for a slow one.

--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -22,9 +22,14 @@
 	fullWeightSamples  = 32  // from which on they count for nothing
 	speedUpdateSamples = 4   // new samples after which the estimate is computed again
 	maxSpeedRatio      = 6.0 // factor by which an estimate may differ from its start value, up or down
-	// learningError is the factor by which a learned prefill rate may be off under load. Within
-	// it of the start value, the start values hold.
-	learningError = 1.4
+	// learningError is the factor by which a learned prefill rate may be off: under load, and as the
+	// tokens of a long prompt take longer than those of a short one. Within it of the start value,
+	// the start values hold.
+	learningError = 1.6
+	// returnError is the factor of the start value within which the start values hold again once
+	// learned ones do. It is below learningError, so that an estimate near it does not switch all
+	// costs to and fro.
+	returnError = 1.2
 	// minLengthRatio is how many times the length of the shorter prompts the longer ones
 	// must have for their times to say something of the prefill rate.
 	minLengthRatio = 1.3
@@ -87,7 +92,7 @@
 	prefillPerToken time.Duration // to prefill a prompt token
 	stepTime        time.Duration // of a batch with one request
 	stepPerRequest  time.Duration // that each further request of the batch adds
-	differs         bool          // from the start values by more than learningError
+	differs         bool          // from the start values, see learningError and returnError
 
 	prefills sampleRing // prompt tokens and the time to the first event
 	steps    sampleRing // running requests and the time of a step
@@ -145,7 +150,11 @@
 		perToken = quantileOf(long, prefillQuantile, func(x speedSample) float64 { return (float64(x.took) - fixed) / x.load })
 	}
 	ratio := perToken / float64(startPrefillPerToken)
-	if ratio > 1/learningError && ratio < learningError {
+	limit := learningError
+	if s.differs {
+		limit = returnError
+	}
+	if ratio > 1/limit && ratio < limit {
 		s.resetToStart()
 		return
 	}
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -346,3 +346,32 @@
 	speed.expectNear(g, usualSpeed)
 	g.Expect(speed.step(16)).To(Equal(startStepTime + 16*startStepPerRequest))
 }
+
+// Engines like the start values under long prompts, whose tokens take longer as each attends to all before it
+// (a token takes twice as long at 18,000), in bursts that make most of them wait: the start values hold. Slow
+// engines under the same load are told from them throughout.
+func TestLongPromptsInBurstsAreNoSlowEngine(t *testing.T) {
+	const attended = 18_000
+	for _, c := range []struct {
+		engine  testEngine
+		differs bool
+	}{{usualSpeed, false}, {slowEngine, true}} {
+		g := NewWithT(t)
+		speed, random := newEngineSpeed(), rand.New(rand.NewPCG(11, 11))
+		switches, differed := 0, false
+		for i := range 600 {
+			tokens := 500 + random.IntN(3500)
+			context := tokens * (1 + random.IntN(4)) // most of long prompts is cached
+			took := c.engine.firstEvent + c.engine.prefill(tokens*(attended+context)/attended) + c.engine.step*time.Duration(1+tokens/prefillChunkTokens)
+			if i/100%2 == 1 && random.IntN(10) < 8 {
+				took += time.Duration(random.IntN(400)) * time.Millisecond
+			}
+			speed.recordPrefill(tokens, 0, took)
+			if speed.differs != differed {
+				switches, differed = switches+1, speed.differs
+			}
+		}
+		g.Expect(differed).To(Equal(c.differs))
+		g.Expect(switches).To(BeNumerically("<=", 1))
+	}
+}
