--- a/internal/balance/attempt.go
+++ b/internal/balance/attempt.go
@@ -186,6 +186,7 @@
 	}
 }
 
+// recordError counts an error in the rate of errors of an endpoint.
 func (t *Table) recordError(now time.Time, e *endpoint) {
 	if !t.config.Off.Has(mechanism.ErrorRate) {
 		e.errorRate.add(now, 1)
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -163,10 +163,7 @@
 		}
 		now := time.Now()
 		a.mu.Lock()
-		request.Waited, request.Allowance = now.Sub(started) >= deferral, a.admission.Allowance(now, request.Service, request.RouteRank)
-		if a.admission.Returned(now, a.fingerprint) {
-			request.Waited, request.Allowance = true, 1
-		}
+		a.setTurn(&request, now, now.Sub(started) >= deferral)
 		choice, err := a.table.Choose(now, request)
 		if err == nil {
 			err = a.admit(now, choice)
@@ -227,6 +224,15 @@
 	return limit
 }
 
+// setTurn sets whether the request has waited its turn, here or between a refusal and its return, and what
+// that is worth. Router.mu must be held.
+func (a *activeRequest) setTurn(request *balance.Request, now time.Time, waited bool) {
+	request.Waited, request.Allowance = waited, a.admission.Allowance(now, request.Service, request.RouteRank)
+	if a.admission.Returned(now, a.fingerprint) {
+		request.Waited, request.Allowance = true, 1
+	}
+}
+
 // deferral returns how long a request waits for its turn.
 func (a *activeRequest) deferral() time.Duration {
 	return min(a.request.Route.LatencyTarget, max(time.Until(a.request.Deadline), 0)/deferralDivisor)
