--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -349,7 +349,7 @@
 
 // Engines like the start values under long prompts, whose tokens take longer as each attends to all before it
 // (a token takes twice as long at 18,000), in bursts that make most of them wait: the start values hold. Slow
-// engines under the same load are told from them throughout.
+// engines under the same load count as slow throughout.
 func TestLongPromptsInBurstsAreNoSlowEngine(t *testing.T) {
 	const attended = 18_000
 	for _, c := range []struct {
--- a/internal/fleet/stream_starts.go
+++ b/internal/fleet/stream_starts.go
@@ -74,8 +74,8 @@
 	return origin.Origin{}, false, settled
 }
 
-// InContact reports whether any control host is live, and one has told which versions serve, or did
-// so short ago.
+// InContact reports whether any control host is live, and the versions that serve, or did so short
+// ago, are known from one.
 func (f *Follower) InContact() bool { return f.Status().Confirmed && len(f.liveHosts()) > 0 }
 
 func (f *Follower) liveHosts() []*host {
