Count idle closes of callers' connections, and answer and log panics of the handler

A request may end without an answer because its handler panicked: the server recovered it, closed the connection, and logged it at the level debug only. Nor did any line or metric tell that the entry closed an idle connection, so a request that crossed the close looked like a caller that left.

A panic is now logged as an error with its stack, counted, and answered with 502, which promises nothing; if the response has begun, its connection is aborted as before. Idle closes are counted.

--- a/internal/entry/drain_listener.go
+++ b/internal/entry/drain_listener.go
@@ -5,9 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
 )
 
@@ -33,6 +36,8 @@
 type drainListener struct {
 	net.Listener
 	limits func() catalog.Limits // returns the limits in force
+	// onIdleTimeout is called when a connection ends because it was idle for too long. It may be nil.
+	onIdleTimeout func()
 
 	mu            sync.Mutex
 	conns         map[*callerConn]bool
@@ -204,10 +209,14 @@
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
 		sent := c.closeResponseSent
-		if n > 0 && !sent && c.phase == phaseIdle {
+		idle := c.phase == phaseIdle
+		if n > 0 && !sent && idle {
 			c.phase, c.headerStartedAt = phaseReadingHeader, time.Now()
 		}
 		c.mu.Unlock()
+		if !sent && idle && errors.Is(err, os.ErrDeadlineExceeded) && c.listener.onIdleTimeout != nil {
+			c.listener.onIdleTimeout()
+		}
 		switch {
 		case !sent:
 			return n, err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,7 +50,7 @@
 	// DecodeDocument parses a configuration from the encoding in which it was stored.
 	DecodeDocument func(content []byte) (*catalog.Document, error)
 	Logger         *slog.Logger
-	Metrics        *metrics.Registry
+	Metrics        *metrics.Registry // nil for one that is not published
 	// UsageWindow is the length of the windows in which requests that began to run are counted,
 	// and UsageRetention how long after its end a window is kept for the control hosts. 0: usage
 	// is not counted.
@@ -78,6 +78,9 @@
 
 // New returns an entry without a configuration.
 func New(o Options) *Entry {
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
 	e := &Entry{options: o, entryCount: 1, configured: make(chan struct{})}
 	e.follower = fleet.NewFollower(fleet.FollowerOptions{EntryName: o.Name, FailureDomain: o.FailureDomain, SeedURLs: o.ControlURLs, HTTPClient: o.HTTPClient, Consumer: e, Logger: o.Logger})
 	routerOptions := forward.Options{Balance: o.Balance, RetryBudget: o.RetryBudget, Dialect: o.Dialect, StreamFinder: e.follower, Logger: o.Logger, Metrics: o.Metrics}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
@@ -38,7 +39,8 @@
 // may finish. The error is a *rpc.ServeError.
 func (e *Entry) ServeCallers(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration, logger *slog.Logger) error {
 	listener := newDrainListener(l, e.callerLimits)
-	server := &http.Server{ConnState: listener.connState, ConnContext: connContext, Handler: e.withConnectionClose(h),
+	listener.onIdleTimeout = func() { e.options.Metrics.AddToCounter(metrics.CallersIdleClosed, 1) }
+	server := &http.Server{ConnState: listener.connState, ConnContext: connContext, Handler: e.withConnectionClose(e.withPanicResponse(h)),
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	return rpc.RunServer(ctx, server, listener, func() time.Duration {
 		began := time.Now()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,6 +48,9 @@
 	UsageGivenUp     = "usage.given_up"   // counter, windows whose usage was not reported in time
 	LedgerEntries    = "ledger.entries"   // gauge, entries in the ledger
 	LedgerBytes      = "ledger.bytes"     // gauge, size of the ledger in bytes
+
+	CallersIdleClosed = "callers.idle_closed" // counter, callers' connections closed at the idle timeout
+	CallersPanics     = "callers.panics"      // counter, callers' requests whose handler panicked
 )
 
 // Registry holds the metrics of one process. Its methods are safe for
