Answer requests that cross the close of an idle connection

A configuration that shortens the timeout makes many connections of callers that don't know it yet end so.

Such a connection now gets the close response that a stopping entry sends (408: not run), and is read for another second. The test failed before: no response after 1 ms, 200 ms and 900 ms, with and without a shortened timeout.

--- a/internal/entry/drain_listener.go
+++ b/internal/entry/drain_listener.go
@@ -16,9 +16,9 @@
 
 // HTTP/1.1 has no message that closes an idle connection: a caller that sends its next
 // request while the entry closes the connection can't know whether the request was read.
-// So a stopping entry sends an unsolicited close response on each idle connection and
-// goes on reading for a while. A request that crosses it, or that is retransmitted after
-// a packet loss, thereby has its response.
+// So the entry sends an unsolicited close response on a connection that has reached the idle
+// timeout, and on each idle connection when it stops, and goes on reading for a while. A request
+// that crosses it, or that is retransmitted after a packet loss, thereby has its response.
 
 // closeResponse is sent on an idle connection. It tells the caller that no request ran.
 const closeResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n"
@@ -36,8 +36,7 @@
 type drainListener struct {
 	net.Listener
 	limits func() catalog.Limits // returns the limits in force
-	// onIdleTimeout is called when a connection ends because it was idle for too long. It may be nil.
-	onIdleTimeout func()
+	events connectionEvents
 
 	mu            sync.Mutex
 	conns         map[*callerConn]bool
@@ -48,8 +47,14 @@
 	closeOnce     sync.Once
 }
 
-func newDrainListener(l net.Listener, limits func() catalog.Limits) *drainListener {
-	return &drainListener{Listener: l, limits: limits, conns: map[*callerConn]bool{}, allClosed: make(chan struct{})}
+// connectionEvents are called from the goroutines of connections.
+type connectionEvents struct {
+	idleTimeout    func()              // a connection has reached the idle timeout
+	requestCrossed func(c *callerConn) // a part of a request arrived after the close response
+}
+
+func newDrainListener(l net.Listener, limits func() catalog.Limits, events connectionEvents) *drainListener {
+	return &drainListener{Listener: l, limits: limits, events: events, conns: map[*callerConn]bool{}, allClosed: make(chan struct{})}
 }
 
 // Close closes the listener, but not its connections.
@@ -165,6 +170,7 @@
 	phase             phase
 	headerStartedAt   time.Time
 	closeResponseSent bool
+	crossed           bool // a part of a request arrived after the close response
 }
 
 // setIdle records that the last response was sent.
@@ -188,37 +194,57 @@
 // sendCloseResponse sends the close response if the connection is idle. The server is
 // waiting for a request, so it reads until the caller closes or the linger time is over.
 func (c *callerConn) sendCloseResponse(linger time.Duration) {
+	if c.beginClose(linger) {
+		c.writeCloseResponse()
+	}
+}
+
+// beginClose ends the use of an idle connection: no request is read any more, and reads end after the
+// linger time. It reports whether the close response is to be written.
+func (c *callerConn) beginClose(linger time.Duration) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.phase != phaseIdle || c.closeResponseSent {
-		c.mu.Unlock()
-		return
+		return false
 	}
 	c.closeResponseSent = true
 	// Fails only on a closed connection, whose reads end anyway.
 	_ = c.Conn.SetDeadline(time.Now().Add(linger))
-	c.mu.Unlock()
+	return true
+}
+
+func (c *callerConn) writeCloseResponse() {
 	if _, err := io.WriteString(c.Conn, closeResponse); err != nil {
 		_ = c.Close() // the caller is gone
 	}
 }
 
-// Read passes requests to the server. After the close response it discards what arrives,
-// and returns EOF when the caller closes or the linger time is over.
+// Read passes requests to the server. A connection that reaches the idle timeout gets the close
+// response. After it, Read discards what arrives, and returns EOF when the caller closes or the linger
+// time is over.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
-		sent := c.closeResponseSent
-		idle := c.phase == phaseIdle
-		if n > 0 && !sent && idle {
+		closing, idle, crossed := c.closeResponseSent, c.phase == phaseIdle, false
+		switch {
+		case closing:
+			crossed = n > 0 && !c.crossed
+			c.crossed = c.crossed || crossed
+		case idle && n > 0:
 			c.phase, c.headerStartedAt = phaseReadingHeader, time.Now()
 		}
 		c.mu.Unlock()
-		if !sent && idle && errors.Is(err, os.ErrDeadlineExceeded) && c.listener.onIdleTimeout != nil {
-			c.listener.onIdleTimeout()
+		if crossed {
+			c.listener.events.requestCrossed(c)
 		}
 		switch {
-		case !sent:
+		case !closing && idle && n == 0 && errors.Is(err, os.ErrDeadlineExceeded):
+			c.listener.events.idleTimeout()
+			if c.beginClose(maxLingerTime) {
+				go c.writeCloseResponse() // the caller's request may have to be read first
+			}
+		case !closing:
 			return n, err
 		case err != nil:
 			return 0, io.EOF
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,13 +33,13 @@
 	stopMargin = 300 * time.Millisecond
 )
 
-// ServeCallers serves callers until ctx ends, and then stops within the grace period. At
+// ServeCallers serves callers until ctx ends, and then stops within the grace period. Idle
+// connections are closed with a close response. At
 // first it still serves open connections and asks callers to close them with the next
 // response. Then it sends a close response on idle connections, while running requests
 // may finish. The error is a *rpc.ServeError.
 func (e *Entry) ServeCallers(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration, logger *slog.Logger) error {
-	listener := newDrainListener(l, e.callerLimits)
-	listener.onIdleTimeout = func() { e.options.Metrics.AddToCounter(metrics.CallersIdleClosed, 1) }
+	listener := newDrainListener(l, e.callerLimits, e.connectionEvents(logger))
 	server := &http.Server{ConnState: listener.connState, ConnContext: connContext, Handler: e.withConnectionClose(e.withPanicResponse(h)),
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	return rpc.RunServer(ctx, server, listener, func() time.Duration {
@@ -53,6 +53,17 @@
 	}, logger)
 }
 
+// connectionEvents counts and logs how callers' connections end.
+func (e *Entry) connectionEvents(logger *slog.Logger) connectionEvents {
+	return connectionEvents{
+		idleTimeout: func() { e.options.Metrics.AddToCounter(metrics.CallersIdleClosed, 1) },
+		requestCrossed: func(c *callerConn) {
+			e.options.Metrics.AddToCounter(metrics.CallersCrossed, 1)
+			logger.Info("request crossed the close of its connection", "caller", c.RemoteAddr().String())
+		},
+	}
+}
+
 // callerLimits returns the timeouts for callers in the configuration in force.
 func (e *Entry) callerLimits() catalog.Limits {
 	limits := catalog.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -16,6 +17,7 @@
 
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
 	"github.com/trefoilkeel/trefoilkeel/internal/forward"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 )
 
 // pipeListener is a listener in memory.
@@ -131,7 +133,7 @@
 	g := NewWithT(t)
 	callerEnd, entryEnd := net.Pipe()
 	defer func() { _ = callerEnd.Close() }()
-	c := &callerConn{Conn: entryEnd, listener: newDrainListener(newPipeListener(), (&Entry{}).callerLimits)}
+	c := &callerConn{Conn: entryEnd, listener: newDrainListener(newPipeListener(), (&Entry{}).callerLimits, connectionEvents{})}
 	ran := 0
 	e := New(Options{Logger: slog.New(slog.DiscardHandler)})
 	handler := e.withConnectionClose(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
@@ -203,6 +205,68 @@
 	}
 }
 
+// serveOnPipe starts an entry with the limits on connections in memory.
+func serveOnPipe(t *testing.T, log io.Writer, limits catalog.Limits) (*Entry, *pipeListener) {
+	e := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	e.index.Store(catalog.NewIndex(&catalog.Document{Version: 1, Limits: limits}))
+	listener := newPipeListener()
+	ctx, stop := context.WithCancel(t.Context())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	ended := make(chan error, 1)
+	go func() {
+		ended <- e.ServeCallers(ctx, listener, handler, 2*time.Second, slog.New(slog.NewJSONHandler(log, nil)))
+	}()
+	t.Cleanup(func() { stop(); NewWithT(t).Expect(<-ended).To(Succeed()) })
+	return e, listener
+}
+
+// A request that arrives just after its connection has reached the idle timeout, also one that a new
+// configuration has shortened, must get a response that says that it did not run. It got none: the
+// connection was closed without a word.
+func TestRequestThatCrossesAnIdleCloseGetsAResponse(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, 200 * time.Millisecond, 900 * time.Millisecond} {
+		for _, shortened := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				log := &bytes.Buffer{}
+				e, listener := serveOnPipe(t, log, catalog.Limits{IdleTimeout: 15 * time.Second})
+				timeout := 15 * time.Second
+				if shortened {
+					timeout = 4 * time.Second
+					e.index.Store(catalog.NewIndex(&catalog.Document{Version: 2, Limits: catalog.Limits{IdleTimeout: timeout}}))
+				}
+				reused := listener.dial()
+				g.Expect(sendRequest(reused)).NotTo(BeNil())
+				time.Sleep(timeout + delay)
+				response := sendRequest(reused)
+				g.Expect(response).NotTo(BeNil(), delay.String())
+				g.Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+				g.Expect(response.Close).To(BeTrue())
+				g.Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+				g.Expect(reused.Close()).To(Succeed())
+				synctest.Wait()
+				g.Expect(log.String()).To(ContainSubstring("crossed the close"))
+				g.Expect(e.options.Metrics.CounterValue(metrics.CallersIdleClosed)).To(Equal(int64(1)))
+			})
+		}
+	}
+}
+
+// A connection that its caller leaves open must be closed after the close response.
+func TestIdleConnectionIsClosedAfterTheCloseResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		_, listener := serveOnPipe(t, io.Discard, catalog.Limits{IdleTimeout: 5 * time.Second})
+		reused := listener.dial()
+		g.Expect(sendRequest(reused)).NotTo(BeNil())
+		began := time.Now()
+		rest, err := io.ReadAll(reused)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(rest)).To(Equal(closeResponse))
+		g.Expect(time.Since(began)).To(BeNumerically("~", 5*time.Second+maxLingerTime, 10*time.Millisecond))
+	})
+}
+
 // A stop must also end within a short grace period.
 func TestShortGracePeriodIsNotExceeded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
