Keep a silent attempt until its replacement has begun to answer

A sound endpoint may pause for a second and go on. An entry that had no event of a resumable stream for 0.9 s cancelled the attempt first and looked for another endpoint afterwards. If that one refused, broke off, answered an error or was silent as well, the caller's connection was closed in the middle of its stream, though the first endpoint was about to go on; requests that may be repeated got 502, 503 or 504 in the same way. A long response that had partly been passed on was cut when its whole transfer took longer than the wait for its beginning.

Now the silent attempt goes on while another endpoint, taken from the retry budget, is asked. It is cancelled once the other's response has begun. If the silent endpoint sends an event first, the other attempt is cancelled; if the other fails, the first keeps its request; if the first breaks off, the other is used. A response that has partly been passed on is not replaced.

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -65,23 +65,15 @@
 // activeRequest is the state of a request while Serve runs.
 type activeRequest struct {
 	*Router
-	request             *Request
-	fingerprint         uint64 // of the request, its key in package quarantine
-	writer              http.ResponseWriter
-	attempts            retry.Attempts
-	triedEndpoints      []string    // IDs; guarded by Router.mu
-	outsideShare        bool        // beyond the share of its workspace
-	nextAttemptReserved atomic.Bool // the next attempt has already been taken from the retry budget
-
-	choice          balance.Choice
-	attempt         *balance.Attempt
-	reportedLoad    balance.ReportedLoad          // from the header of the response
-	headReceived    bool                          // the endpoint of the attempt has begun its response
-	began           bool                          // the endpoint of the attempt has begun to run the request, or may have
-	attemptEvents   int                           // events received in the attempt
-	attemptEventAt  time.Time                     // first event of the attempt
-	sentAt          time.Time                     // when the attempt was sent
-	servedRecorded  bool                          // the attempt counts as served
+	request        *Request
+	fingerprint    uint64 // of the request, its key in package quarantine
+	writer         http.ResponseWriter
+	attempts       retry.Attempts
+	triedEndpoints []string     // IDs; guarded by Router.mu
+	outsideShare   bool         // beyond the share of its workspace
+	replacement    *replacement // of the last attempt, nil for none
+
+	attemptState
 	writtenStatus   int                           // status written to the caller, 0 for none
 	origin          atomic.Pointer[origin.Origin] // of the stream, nil before its first event
 	lastEventID     string                        // last event written, or the one that the caller resumes after
@@ -91,6 +83,19 @@
 	longestGap      time.Duration // between two events
 }
 
+// attemptState is the state of one attempt.
+type attemptState struct {
+	choice         balance.Choice
+	attempt        *balance.Attempt
+	reportedLoad   balance.ReportedLoad // from the header of the response
+	headReceived   bool                 // the endpoint has begun its response
+	began          bool                 // the endpoint has begun to run the request, or may have
+	attemptEvents  int                  // events received
+	attemptEventAt time.Time            // first event
+	sentAt         time.Time
+	servedRecorded bool // the attempt counts as served
+}
+
 // responseTimeoutError is the cancellation cause of an attempt whose endpoint sent
 // nothing for too long.
 type responseTimeoutError struct {
@@ -107,12 +112,14 @@
 	if err := a.findOrigin(ctx); err != nil {
 		return a.finalError(err)
 	}
+	defer a.abandonReplacement()
 	for {
-		if err := a.chooseEndpoint(ctx); err != nil {
-			a.recordRefusedWork(time.Now(), err)
-			return a.finalError(err)
+		outcome, err := a.nextAttempt(ctx)
+		var notChosen *notChosenError
+		if errors.As(err, &notChosen) {
+			a.recordRefusedWork(time.Now(), notChosen.cause)
+			return a.finalError(notChosen.cause)
 		}
-		outcome, err := a.sendAttempt(ctx)
 		if outcome == retry.Answered {
 			return nil
 		}
@@ -122,17 +129,69 @@
 		if a.writtenStatus != 0 && a.request.Route.Kind != catalog.EventStream {
 			return a.finalError(err) // only streams can be resumed
 		}
+		if a.replacement != nil {
+			a.logRetry("request tried again", outcome, err)
+			continue
+		}
 		a.attempts.TimeLeft = time.Until(a.request.Deadline)
 		if a.attempts.Decide(outcome) != retry.TryAnother {
 			return a.finalError(err)
 		}
-		if outcome != retry.NotSent && !a.nextAttemptReserved.Swap(false) && !a.spendRetryBudget(time.Now(), a.request.Service) {
+		if outcome != retry.NotSent && !a.spendRetryBudget(time.Now(), a.request.Service) {
 			return a.finalError(err)
 		}
 		a.logRetry("request tried again", outcome, err)
 	}
 }
 
+// notChosenError reports that no endpoint could be chosen.
+type notChosenError struct {
+	cause error
+}
+
+func (e *notChosenError) Error() string { return "no endpoint chosen: " + errorText(e.cause) }
+
+// nextAttempt makes an attempt, or goes on with the replacement of the last one.
+func (a *activeRequest) nextAttempt(ctx context.Context) (retry.Outcome, error) {
+	if r := a.replacement; r != nil {
+		a.replacement = nil
+		return a.useReplacement(ctx, r)
+	}
+	if err := a.chooseEndpoint(ctx); err != nil {
+		return retry.NotSent, &notChosenError{cause: err}
+	}
+	return a.sendAttempt(ctx)
+}
+
+// useReplacement goes on with a replacement as the present attempt. A writer that fails in it ends the
+// request like one of any other attempt.
+func (a *activeRequest) useReplacement(ctx context.Context, r *replacement) (retry.Outcome, error) {
+	defer r.cancel(nil)
+	<-r.done
+	a.attemptState = r.attemptState
+	a.mu.Lock()
+	a.triedEndpoints = append(a.triedEndpoints, r.choice.ID)
+	a.mu.Unlock()
+	if r.err != nil {
+		a.attempts.Add(r.attempts)
+		return r.outcome, r.err
+	}
+	defer r.exchange.Close()
+	watch := a.watchSilence(ctx, r.cancel, a.eventGapTimeout())
+	a.attempts.Add(r.attempts)
+	outcome, err := a.receive(r.ctx, r.exchange, watch)
+	a.endWatch(watch, outcome)
+	return outcome, err
+}
+
+// abandonReplacement cancels a replacement that is not used.
+func (a *activeRequest) abandonReplacement() {
+	if r := a.replacement; r != nil {
+		a.replacement = nil
+		r.abandon()
+	}
+}
+
 // logRetry logs why another attempt follows.
 func (a *activeRequest) logRetry(message string, outcome retry.Outcome, err error) {
 	a.options.Logger.Info(message, "request", a.request.ID, "endpoint", a.choice.ID, "version", a.choice.Version, "outcome", outcomeNames[outcome],
@@ -169,14 +228,10 @@
 			err = a.admit(now, choice)
 		}
 		if err == nil {
-			a.attempt = a.table.RecordSent(now, request, choice)
-			a.triedEndpoints = append(a.triedEndpoints, choice.ID)
-			a.recordStart(now, choice.Version)
+			a.begin(now, request, choice)
 		}
 		a.mu.Unlock()
 		if err == nil {
-			a.choice, a.reportedLoad = choice, balance.ReportedLoad{}
-			a.headReceived, a.attemptEvents, a.servedRecorded, a.began, a.sentAt = false, 0, false, false, now
 			return nil
 		}
 		if now.Sub(started) > a.endpointWait(err, deferral) || !wait.For(ctx, endpointPollInterval) {
@@ -185,6 +240,13 @@
 	}
 }
 
+// begin records that an attempt is sent to the chosen endpoint. Router.mu must be held.
+func (a *activeRequest) begin(now time.Time, request balance.Request, choice balance.Choice) {
+	a.attemptState = attemptState{choice: choice, attempt: a.table.RecordSent(now, request, choice), sentAt: now}
+	a.triedEndpoints = append(a.triedEndpoints, choice.ID)
+	a.recordStart(now, choice.Version)
+}
+
 // balanceRequest returns the properties of the request that decide on its endpoint.
 func (a *activeRequest) balanceRequest() balance.Request {
 	request := balance.Request{Service: a.request.Service, PromptTokens: a.request.PromptTokens, Parts: a.request.PromptParts,
@@ -241,43 +303,74 @@
 // sendAttempt makes one attempt. It returns retry.Answered only if the response to
 // the caller is complete.
 func (a *activeRequest) sendAttempt(ctx context.Context) (retry.Outcome, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := a.startResponseTimer(ctx, cancel, a.firstResponseTimeout())
-	defer timer.Stop()
+	watch := a.watchSilence(ctx, cancel, a.firstResponseTimeout())
+	x, outcome, err := a.openAttempt(attemptCtx)
+	if err == nil {
+		defer x.Close()
+		outcome, err = a.receive(attemptCtx, x, watch)
+	}
+	a.endWatch(watch, outcome)
+	return outcome, err
+}
+
+// endWatch ends the watch of an attempt. A replacement is kept for the next attempt unless the request
+// is answered.
+func (a *activeRequest) endWatch(watch *silenceWatch, outcome retry.Outcome) {
+	pending, failed := watch.stop()
+	a.attempts.Add(failed)
+	if pending != nil {
+		a.replacement = pending
+	}
+	if outcome == retry.Answered {
+		a.abandonReplacement()
+	}
+}
+
+// openAttempt sends the request and waits until its response has begun. Without an error it has, and
+// the endpoint runs the request or has run it; the exchange must be closed.
+func (a *activeRequest) openAttempt(ctx context.Context) (*upstream.Exchange, retry.Outcome, error) {
 	x, err := a.client.Do(ctx, a.choice.Address, a.newAttemptRequest(), a.request.Body)
 	if err != nil {
-		return a.handleSendError(ctx, err)
+		outcome, err := a.handleSendError(ctx, err)
+		return nil, outcome, err
 	}
-	defer x.Close()
 	a.headReceived = true
 	a.confirmServed()
 	metadata := a.options.Dialect.DecodeResponse(x.Response)
 	a.reportedLoad = metadata.Load
 	a.applyNotices(x, metadata)
 	if metadata.NotRun {
+		x.Close()
 		a.attempts.Refusals++
 		a.recordEnd(balance.NotRun)
-		return retry.NotRun, &endpointStatusError{Status: x.Response.StatusCode}
+		return nil, retry.NotRun, &endpointStatusError{Status: x.Response.StatusCode}
 	}
 	a.attempts.Runs++
 	if metadata.RequestID != a.request.ID || !metadata.HasSignature {
+		x.Close()
 		a.recordEnd(balance.Failed)
-		return retry.Unknown, &upstream.ProtocolError{Reason: "the answer is not to this request"}
+		return nil, retry.Unknown, &upstream.ProtocolError{Reason: "the answer is not to this request"}
 	}
 	a.recordResponding()
 	if a.request.Route.Kind != catalog.EventStream || !isSuccess(x.Response.StatusCode) {
 		a.recordBegan()
 	}
+	return x, retry.Unknown, nil
+}
+
+// receive forwards a response that has begun.
+func (a *activeRequest) receive(ctx context.Context, x *upstream.Exchange, watch *silenceWatch) (retry.Outcome, error) {
 	switch success := isSuccess(x.Response.StatusCode); {
 	case a.request.Route.Kind == catalog.EventStream && success:
-		return a.forwardStream(ctx, x, timer)
+		return a.forwardStream(ctx, x, watch)
 	case a.writtenStatus != 0:
 		// The caller has received part of a stream; an error body must not follow it.
 		a.recordEnd(balance.ErrorResponse)
 		return retry.Errored, &endpointStatusError{Status: x.Response.StatusCode}
 	}
-	return a.forwardBuffered(ctx, x)
+	return a.forwardBuffered(ctx, x, watch)
 }
 
 // applyNotices applies what a response says of its endpoint: that it leaves, or wants no
@@ -334,66 +427,13 @@
 	return max(firstResponseTimeoutFactor*max(a.request.Route.LatencyTarget, a.choice.ExpectedWait), minFirstResponseTimeout)
 }
 
-// responseTimer cancels an attempt whose endpoint sends nothing. Its timer is nil if the
-// attempt has no timeout.
-type responseTimer struct {
-	timer *time.Timer
-}
-
-// startResponseTimer starts a timer that cancels the attempt after a timeout without
-// data if another attempt can start, and otherwise checks again after the same time.
-// A timeout of 0 means no limit.
-func (a *activeRequest) startResponseTimer(ctx context.Context, cancel context.CancelCauseFunc, timeout time.Duration) *responseTimer {
-	r := &responseTimer{}
-	if timeout == 0 {
-		return r
-	}
-	r.timer = time.AfterFunc(placeholderDelay, func() {
-		switch {
-		case ctx.Err() != nil:
-		case a.reserveNextAttempt():
-			cancel(&responseTimeoutError{after: timeout})
-		default:
-			r.timer.Reset(timeout)
-		}
-	})
-	r.timer.Reset(timeout)
-	return r
-}
-
-// placeholderDelay is longer than any request: the timer can't fire before it has
-// been assigned and reset to its timeout.
-const placeholderDelay = time.Hour
-
-// reserveNextAttempt reports whether another attempt can start now, and takes it from
-// the retry budget. Without another attempt, cancelling a slow one would only lose
-// its response.
-func (a *activeRequest) reserveNextAttempt() bool {
-	if a.checkQuarantine() != nil {
-		return false
-	}
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if _, err := a.table.Choose(now, a.balanceRequest()); err != nil || !a.options.RetryBudget.TryTake(now, a.request.Service) {
-		return false
-	}
-	a.nextAttemptReserved.Store(true)
-	return true
-}
-
-// Reset restarts the timer, if there is one.
-func (r *responseTimer) Reset(timeout time.Duration) {
-	if r.timer != nil {
-		r.timer.Reset(timeout)
-	}
-}
-
-// Stop stops the timer, if there is one.
-func (r *responseTimer) Stop() {
-	if r.timer != nil {
-		r.timer.Stop()
+// eventGapTimeout returns how long a stream may pause between events until a replacement is tried, 0
+// for no limit.
+func (a *activeRequest) eventGapTimeout() time.Duration {
+	if a.firstResponseTimeout() == 0 {
+		return 0
 	}
+	return max(eventGapTimeoutFactor*a.request.Route.GapTarget, minEventGapTimeout)
 }
 
 // newAttemptRequest builds the request that an attempt sends to its endpoint.
--- /dev/null
+++ b/internal/forward/replacement.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/retry"
+	"github.com/trefoilkeel/trefoilkeel/internal/upstream"
+)
+
+// replacement is an attempt at another endpoint that is made while the endpoint of the present attempt
+// is silent. The present attempt goes on until the replacement's response has begun: the silent endpoint
+// may only have paused, and the other one may refuse.
+type replacement struct {
+	*activeRequest // the state of this attempt alone
+	ctx            context.Context
+	cancel         context.CancelCauseFunc
+	done           chan struct{} // closed once the fields below are set
+	exchange       *upstream.Exchange
+	outcome        retry.Outcome
+	err            error // nil if the response has begun
+}
+
+// newReplacement chooses another endpoint for the request, and takes the attempt from the retry budget.
+// It returns nil if no attempt can start. ctx is that of the request.
+func (a *activeRequest) newReplacement(ctx context.Context, lastEventID string) *replacement {
+	if a.checkQuarantine() != nil {
+		return nil
+	}
+	other := &activeRequest{Router: a.Router, request: a.request, fingerprint: a.fingerprint, outsideShare: a.outsideShare,
+		triedEndpoints: slices.Clone(a.triedEndpoints), lastEventID: lastEventID}
+	other.origin.Store(a.origin.Load())
+	request, now := other.balanceRequest(), time.Now()
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	choice, err := other.table.Choose(now, request)
+	if err != nil || !other.options.RetryBudget.TryTake(now, other.request.Service) {
+		return nil
+	}
+	other.begin(now, request, choice)
+	r := &replacement{activeRequest: other, done: make(chan struct{})}
+	r.ctx, r.cancel = context.WithCancelCause(ctx)
+	return r
+}
+
+// open sends the request and waits until its response has begun.
+func (r *replacement) open() {
+	defer close(r.done)
+	r.exchange, r.outcome, r.err = r.openAttempt(r.ctx)
+	if r.err != nil || isSuccess(r.exchange.Response.StatusCode) {
+		return
+	}
+	r.exchange.Close()
+	r.recordEnd(balance.ErrorResponse)
+	r.outcome, r.err = retry.Errored, errors.WithStack(&endpointStatusError{Status: r.exchange.Response.StatusCode})
+}
+
+// supersededError is the cancellation cause of a replacement that is not needed any more.
+type supersededError struct{}
+
+func (*supersededError) Error() string { return "the silent endpoint went on" }
+
+// abandon cancels the replacement, and ends its attempt once its outcome is known.
+func (r *replacement) abandon() {
+	r.cancel(&supersededError{})
+	<-r.done
+	if r.err == nil {
+		r.exchange.Close()
+		r.recordEnd(balance.Cancelled)
+	}
+}
+
+// silenceWatch replaces an attempt whose endpoint sends nothing for too long, if another attempt can
+// start. Without another attempt, cancelling a silent one would only lose its response.
+type silenceWatch struct {
+	attempt       *activeRequest
+	ctx           context.Context         // of the request
+	cancelAttempt context.CancelCauseFunc // of the attempt that is watched
+
+	mu          sync.Mutex
+	timer       *time.Timer // nil if the attempt has no timeout
+	timeout     time.Duration
+	lastEventID string
+	stopped     bool
+	attempts    retry.Attempts // of the request, with the attempt that is watched and its replacements
+	failed      retry.Attempts // counts the replacements that failed
+	pending     *replacement
+	takenOver   bool // by pending, whose response has begun
+}
+
+// watchSilence watches the attempt from now on. A timeout of 0 means no limit. attempts counts the
+// earlier attempts of the request.
+func (a *activeRequest) watchSilence(ctx context.Context, cancelAttempt context.CancelCauseFunc, timeout time.Duration) *silenceWatch {
+	w := &silenceWatch{attempt: a, ctx: ctx, cancelAttempt: cancelAttempt, timeout: timeout, lastEventID: a.lastEventID, attempts: a.attempts}
+	w.attempts.Runs++
+	if timeout > 0 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.timer = time.AfterFunc(timeout, w.replace)
+	}
+	return w
+}
+
+// progressed restarts the timeout: the endpoint has sent an event. lastEventID is that of the last event
+// that the caller has.
+func (w *silenceWatch) progressed(timeout time.Duration, lastEventID string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || w.takenOver {
+		return
+	}
+	w.timeout, w.lastEventID = timeout, lastEventID
+	if w.pending != nil {
+		w.pending.cancel(&supersededError{})
+		return
+	}
+	w.timer.Reset(timeout)
+}
+
+// replace starts a replacement, and cancels the attempt that is watched once the replacement's response
+// has begun.
+func (w *silenceWatch) replace() {
+	w.mu.Lock()
+	if w.stopped {
+		w.mu.Unlock()
+		return
+	}
+	timeout := w.timeout
+	w.attempts.TimeLeft = time.Until(w.attempt.request.Deadline)
+	var r *replacement
+	if w.attempts.Decide(retry.Unknown) == retry.TryAnother {
+		r = w.attempt.newReplacement(w.ctx, w.lastEventID)
+	}
+	if w.pending = r; r == nil {
+		w.timer.Reset(timeout)
+		w.mu.Unlock()
+		return
+	}
+	w.mu.Unlock()
+	r.open()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+		return // the attempt has ended, and its request uses the replacement
+	case r.err == nil && r.ctx.Err() == nil:
+		w.takenOver = true
+		w.cancelAttempt(&responseTimeoutError{after: timeout})
+		return
+	case r.err == nil:
+		r.abandon()
+	}
+	r.logRetry("replacement of a silent endpoint failed", r.outcome, r.err)
+	w.pending = nil
+	w.attempts.Add(r.attempts)
+	w.failed.Add(r.attempts)
+	w.timer.Reset(w.timeout)
+}
+
+// stop ends the watch. It returns the replacement that has begun or may still begin to answer, nil if
+// there is none, and the counts of those that failed. A later call returns nothing.
+func (w *silenceWatch) stop() (pending *replacement, failed retry.Attempts) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	pending, failed = w.pending, w.failed
+	w.pending, w.failed = nil, retry.Attempts{}
+	return pending, failed
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -57,17 +57,19 @@
 
 // forwardBuffered writes a response to the caller once it has been read to its end. A
 // longer one is written as it is read.
-func (a *activeRequest) forwardBuffered(ctx context.Context, x *upstream.Exchange) (retry.Outcome, error) {
+func (a *activeRequest) forwardBuffered(ctx context.Context, x *upstream.Exchange, watch *silenceWatch) (retry.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedResponseBytes+1))
 	if err != nil {
 		a.recordFailure(ctx, err)
 		return retry.Unknown, errors.Wrap(err, "read response")
 	}
+	a.endWatch(watch, retry.Unknown)
 	// How soon an endpoint reports an error says nothing of how fast it runs requests.
 	if isSuccess(x.Response.StatusCode) {
 		a.recordResponse()
 	}
 	if len(body) > maxBufferedResponseBytes {
+		a.abandonReplacement() // a response that has partly been written can't be replaced
 		return a.forwardLong(ctx, x, body)
 	}
 	if isSuccess(x.Response.StatusCode) {
@@ -76,7 +78,7 @@
 	if x.Response.StatusCode >= http.StatusInternalServerError {
 		a.recordEnd(balance.ErrorResponse)
 		a.attempts.TimeLeft = time.Until(a.request.Deadline)
-		if a.attempts.Decide(retry.Errored) == retry.TryAnother && a.spendRetryBudget(time.Now(), a.request.Service) {
+		if a.replacement != nil || a.attempts.Decide(retry.Errored) == retry.TryAnother && a.spendRetryBudget(time.Now(), a.request.Service) {
 			return a.retryErrorResponse(ctx, x, body)
 		}
 	} else {
@@ -114,10 +116,8 @@
 func (a *activeRequest) retryErrorResponse(ctx context.Context, x *upstream.Exchange, body []byte) (retry.Outcome, error) {
 	errorResponse := x.Response
 	a.logRetry("request tried again", retry.Errored, &endpointStatusError{Status: errorResponse.StatusCode})
-	if err := a.chooseEndpoint(ctx); err == nil {
-		if outcome, _ := a.sendAttempt(ctx); outcome == retry.Answered || a.writtenStatus != 0 {
-			return outcome, nil
-		}
+	if outcome, _ := a.nextAttempt(ctx); outcome == retry.Answered || a.writtenStatus != 0 {
+		return outcome, nil
 	}
 	a.writeResponse(errorResponse, body)
 	return retry.Answered, nil
@@ -131,7 +131,7 @@
 }
 
 // forwardStream writes the events of a stream to the caller as they arrive.
-func (a *activeRequest) forwardStream(ctx context.Context, x *upstream.Exchange, timer *responseTimer) (retry.Outcome, error) {
+func (a *activeRequest) forwardStream(ctx context.Context, x *upstream.Exchange, watch *silenceWatch) (retry.Outcome, error) {
 	flusher := http.NewResponseController(a.writer)
 	reader := bufio.NewReaderSize(x, eventBufferBytes)
 	var event []byte
@@ -161,7 +161,7 @@
 			return retry.Unknown, err
 		}
 		if hasFields {
-			timer.Reset(max(eventGapTimeoutFactor*a.request.Route.GapTarget, minEventGapTimeout))
+			watch.progressed(max(eventGapTimeoutFactor*a.request.Route.GapTarget, minEventGapTimeout), a.lastEventID)
 		}
 		event, hasFields = event[:0], false
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -29,6 +29,13 @@
 	TimeLeft    time.Duration // time left until the deadline
 }
 
+// Add adds the counts of other attempts of the same request.
+func (a *Attempts) Add(other Attempts) {
+	a.Runs += other.Runs
+	a.Refusals += other.Refusals
+	a.Unreachable += other.Unreachable
+}
+
 // Action is what to do after an attempt.
 type Action uint8
 
