Log the idle timeout of a configuration in force

Whether a change of the configuration shortens the time for which callers' connections may be idle could not be told from the lines of an entry.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,7 @@
 	e.mu.Unlock()
 	e.router.Configure(d, entryCount)
 	e.options.Metrics.SetGauge(metrics.Revision, int64(version))
-	e.options.Logger.Info("configuration in force", "version", version, "routes", len(d.Routes), "services", len(d.Services), "workspaces", len(d.Workspaces))
+	e.options.Logger.Info("configuration in force", "version", version, "routes", len(d.Routes), "services", len(d.Services), "workspaces", len(d.Workspaces), "idle_timeout_ms", d.Limits.IdleTimeout.Milliseconds())
 }
 
 // UpdateEndpoints applies changes of the endpoint directory.
