Match a response to its request before anything of it is used

What callers saw: an endpoint that ran a booking wrote an earlier refusal once more on the kept connection. The entry took it for the refusal of the booking and sent that to a second endpoint, which ran it too; without a second endpoint the caller was told 503, not run, while the first one ran it.

Cause: sendAttempt acted on the not-run notice, and on departure, Retry-After, limit and load, before it compared the response's ID with that of the request. The start of any response also confirmed that its endpoint had not crashed over earlier ones.

Fix: matchResponse alone decides whether a response is to the request in hand. What it refuses is logged, its connection is closed, and the request counts as perhaps run: repeatable ones go on within attempts and budget, others get 502. A refusal without an ID is refused alike, on a new connection too: endpoints repeat the ID in what they answer, and one that writes before it has read anything can still run what follows. Such an attempt counts for usage as one whose answer was lost, and as a failed one for the endpoint, as it did before.

A refused request can't meet a copy of its own refusal: the connection of a refusal is closed with the rest unread, and the request is not sent to that endpoint again.

The case "wrong request" of TestLeavingEndpointGetsNoFurtherRequest asked that the departure in a response to another request be believed. That was the fault.

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -336,9 +336,14 @@
 		outcome, err := a.handleSendError(ctx, err)
 		return nil, outcome, err
 	}
+	metadata, err := a.matchResponse(x)
+	if err != nil {
+		x.Close()
+		outcome, err := a.handleUnmatchedResponse(err)
+		return nil, outcome, err
+	}
 	a.headReceived = true
 	a.confirmServed()
-	metadata := a.options.Dialect.DecodeResponse(x.Response)
 	a.reportedLoad = metadata.Load
 	a.applyNotices(x, metadata)
 	if metadata.NotRun {
@@ -348,10 +353,10 @@
 		return nil, retry.NotRun, &endpointStatusError{Status: x.Response.StatusCode}
 	}
 	a.attempts.Runs++
-	if metadata.RequestID != a.request.ID || !metadata.HasSignature {
+	if !metadata.HasSignature {
 		x.Close()
 		a.recordEnd(balance.Failed)
-		return nil, retry.Unknown, &upstream.ProtocolError{Reason: "the answer is not to this request"}
+		return nil, retry.Unknown, &upstream.ProtocolError{Reason: "the answer has no signature"}
 	}
 	a.recordResponding()
 	if a.request.Route.Kind != catalog.EventStream || !isSuccess(x.Response.StatusCode) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -40,8 +40,14 @@
 
 func (testDialect) DecodeResponse(response *http.Response) ResponseMetadata {
 	hold, _ := time.ParseDuration(response.Header.Get("Hold"))
-	return ResponseMetadata{RequestID: response.Header.Get("Id"), HasSignature: response.Header.Get("Signature") != "", NotRun: response.Header.Get("Not-Run") != "",
-		Leaving: response.Header.Get("Leaving") != "", Hold: hold}
+	limit, limitErr := strconv.ParseFloat(response.Header.Get("Limit"), 64)
+	waiting, _ := strconv.Atoi(response.Header.Get("Waiting"))
+	metadata := ResponseMetadata{RequestID: response.Header.Get("Id"), HasSignature: response.Header.Get("Signature") != "", NotRun: response.Header.Get("Not-Run") != "",
+		Leaving: response.Header.Get("Leaving") != "", Hold: hold, Limit: EndpointLimit{Stated: limitErr == nil, Limited: limitErr == nil, RequestsPerSecond: limit}}
+	if waiting > 0 {
+		metadata.Load = balance.ReportedLoad{Running: 1, Waiting: waiting, Slots: 1}
+	}
+	return metadata
 }
 
 // testFleet is a router with endpoints, and records the requests that they receive.
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -42,7 +42,6 @@
 		"at most once":      {echoBody, catalog.AtMostOnce, false},
 		"endpoint error":    {internalError, catalog.Idempotent, false},
 		"refusal":           {refuseNotRun, catalog.AtMostOnce, false},
-		"wrong request":     {wrongRequestID, catalog.Idempotent, false},
 		"stream":            {streamEvents(3, 0), catalog.EventStream, false},
 		"interrupted":       {streamEvents(3, 2), catalog.EventStream, true},
 		"truncated":         {truncatedBody, catalog.Idempotent, false},
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -206,6 +206,9 @@
 	x.client.putIdle(x.conn)
 }
 
+// Reused reports whether the connection had been used for earlier requests.
+func (x *Exchange) Reused() bool { return x.conn.requests > 0 }
+
 // Delimited reports whether the response says where it ends, by a length or chunks. Otherwise
 // it ends with its connection, and an early end can't be told from a complete one.
 func (x *Exchange) Delimited() bool {
