Refuse a response head in which another one begins

What callers can see: an endpoint writes the beginning of an earlier refusal on a kept connection, and then the answer to the present request. Cut in the status line or in a header's value, the two read as one head: status 503 or 421 and the not-run notice of the earlier one, ID and signature of the present one. The caller of a booking that ran was told 503, or the booking was sent to a second endpoint.

Cause: net/http parses the rest of a status line as its reason and the rest of a header's line as its value, whatever they hold. The ID is the right one, so matching it doesn't help.

Evidence: TestPartOfAnotherResponseIsNotJoinedToTheHead cuts a refusal after every byte, for three kinds of request. TestErrorsTellWhetherRequestWasSent fails there with such heads too.

Fix: a head with a status line in its reason or in a value, also that of an interim response, is a protocol error like any malformed head. The request counts as perhaps run.

--- a/internal/forward/response_match_test.go
+++ b/internal/forward/response_match_test.go
@@ -284,3 +284,30 @@
 		f.expectNothingBelieved(g, 0, true)
 	}
 }
+
+// Guards against: an earlier refusal that is repeated in part runs into the head of the true response,
+// and both read as one head with the ID of the request.
+func TestPartOfAnotherResponseIsNotJoinedToTheHead(t *testing.T) {
+	other := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nLeaving: 1\r\nHold: 20s\r\nId: r0\r\nContent-Length: 0\r\n\r\n"
+	for _, kind := range []catalog.RequestKind{catalog.AtMostOnce, catalog.Idempotent, catalog.EventStream} {
+		for cut := range len(other) {
+			t.Run(fmt.Sprintf("%v, %d bytes", kind, cut), func(t *testing.T) {
+				g := NewWithT(t)
+				f, _ := newRawFleet(t, "", func(id string) string { return threeEvents(id, other[:cut], "", "") })
+				w := httptest.NewRecorder()
+				err := f.Serve(context.Background(), w, newRequest(kind, false))
+				if cut == 0 || kind == catalog.Idempotent {
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(w.Code).To(Equal(http.StatusOK))
+					g.Expect(w.Body.String()).To(Equal(streamText(3)))
+				} else {
+					var requestErr *RequestError
+					g.Expect(errors.As(err, &requestErr)).To(BeTrue(), "%v, status %d", err, w.Code)
+					g.Expect(requestErr.Reason).To(Equal(OutcomeUnknown))
+					g.Expect(f.requests()).To(Equal([]string{"e0 r1"}))
+				}
+				f.expectNothingBelieved(g, 0, true)
+			})
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -156,6 +158,9 @@
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
+		if containsStatusLine(response) {
+			return nil, errors.WithStack(&ProtocolError{Reason: "an answer begins in the head of another"})
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -163,6 +168,24 @@
 	return nil, errors.WithStack(&ProtocolError{Reason: "too many interim answers"})
 }
 
+// statusLine is the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
+// containsStatusLine reports whether a status line begins within the head of a response. If an
+// endpoint sends the beginning of one response and then another one, they read as one head, which has
+// the status of the former and the headers of the latter.
+func containsStatusLine(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // ProtocolError reports that an endpoint violates the protocol.
 type ProtocolError struct {
 	Reason string
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -202,7 +202,11 @@
 	g.Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
 
 	var noResponse *NoResponseError
-	for name, response := range map[string]string{"closed connection": "", "malformed response": "no answer at all\r\n\r\n"} {
+	for name, response := range map[string]string{"closed connection": "", "malformed response": "no answer at all\r\n\r\n",
+		"response that begins in a status line":              "HTTP/1.1 503 Service Un" + okResponse,
+		"response that begins in a header":                   "HTTP/1.1 503 Busy\r\nRefused: 1" + okResponse,
+		"response that begins in the end of a line":          "HTTP/1.1 503 Busy\r\nRefused: 1\r" + okResponse,
+		"response that begins in the head of an interim one": "HTTP/1.1 103 Early" + okResponse} {
 		s := startServer(t, func(int, int, *http.Request) string { return response })
 		_, err = post(New(), s, nil)
 		g.Expect(errors.As(err, &noResponse)).To(BeTrue(), "%s: %v", name, err)
