Match an agent's refusal to its attempt

What callers can see: if an agent's refusal of another attempt arrives as the response to the present one, a protected request that ran is settled as not run, claimed again at another endpoint and reported as not run, and others are reported as not run. Found while every reader of answers was gone through; no agent is known to have done so: both sides are servers and clients of net/http, which write one response for a request and drop a connection with bytes before it.

Cause: an agent's own responses carried no identity, so the router believed a refusal before any comparison. It also recorded the load in a response before it compared the identity of it.

Fix: an agent names the attempt in its own responses (Tk-Refused), and the router's matchResponse compares the identity before it reads the load or the refusal. An agent of an earlier release names none; its refusals are believed as before, so that routers can be upgraded before agents.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -213,6 +213,7 @@
 	a.logger.Info("request refused",
 		"request", r.Header.Get(dispatch.HeaderRequestID), "workspace", r.Header.Get(dispatch.HeaderWorkspace),
 		"class", r.Header.Get(dispatch.HeaderClass), "type", reqErr.Type, "execution", reqErr.Execution)
+	w.Header().Set(dispatch.HeaderRefused, dispatch.AttemptID(r.Header))
 	a.setLoadHeader(r.Context(), w.Header())
 	reqErr.Write(w)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	HeaderBudget      = "Tk-Budget-Ms"   // time until the deadline, when sent
 	HeaderPatience    = "Tk-Patience-Ms" // time within which the request must start, when sent
 	HeaderRevision    = "Tk-Revision"    // configuration revision of the router
+	HeaderRefused     = "Tk-Refused"     // attempt that the agent's own response is to, as AttemptID returns it
 	HeaderLoad        = "Tk-Load"        // Load message of the agent, protobuf in base64
 	HeaderOutcome     = "Tk-Outcome"     // trailer: how the response ended
 	HeaderHops        = "Tk-Hops"        // candidates tried before this one
@@ -76,6 +77,12 @@
 	LatestStartUnixMS int64
 }
 
+// AttemptID returns the identity of the attempt that the headers of a request, or of an endpoint's
+// response, name.
+func AttemptID(h http.Header) string {
+	return h.Get(HeaderRequestID) + "/" + h.Get(HeaderAttempt) + "/" + h.Get(HeaderIncarnation)
+}
+
 // HeaderError names a header that is missing or malformed.
 type HeaderError struct {
 	Header string
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -96,7 +97,7 @@
 }
 
 // sendAttempt sends an attempt to its agent. The response is not checked yet: see
-// parseAgentError and verifyIdentity. The caller of sendAttempt closes its body.
+// matchResponse. The caller of sendAttempt closes its body.
 func (rt *Router) sendAttempt(ctx context.Context, a *attempt) (*http.Response, error) {
 	targetURL := a.selected.endpoint.GetAgentUrl() + dispatch.PathPrefix + a.request.endpointURI
 	trace := &dispatch.ConnTrace{}
@@ -110,11 +111,17 @@
 	if err != nil && !trace.MayHaveSent() {
 		return nil, &NotSentError{Endpoint: a.selected.endpoint.GetName(), Cause: err}
 	}
-	if err != nil {
+	return response, err
+}
+
+// matchResponse checks that a response is to the attempt before anything of it is used. It returns
+// the agent's error, nil if the response comes from the endpoint, or an *IdentityMismatchError.
+func (rt *Router) matchResponse(a *attempt, response *http.Response) (*dispatch.RequestError, error) {
+	if err := a.verifyIdentity(response); err != nil {
 		return nil, err
 	}
 	rt.selector.observeLoad(a.selected.endpoint, dispatch.DecodeLoad(response.Header.Get(dispatch.HeaderLoad)))
-	return response, nil
+	return parseAgentError(response), nil
 }
 
 // metadata returns the dispatch headers of the attempt.
@@ -162,11 +169,14 @@
 	return reqErr
 }
 
-// verifyIdentity checks that the response belongs to this attempt.
+// verifyIdentity checks that the response belongs to this attempt. An agent's own response names its
+// attempt in another header, which agents of earlier releases leave out.
 func (a *attempt) verifyIdentity(response *http.Response) error {
-	h := response.Header
-	got := h.Get(dispatch.HeaderRequestID) + "/" + h.Get(dispatch.HeaderAttempt) + "/" + h.Get(dispatch.HeaderIncarnation)
 	want := a.request.id + "/" + strconv.FormatUint(uint64(a.number), 10) + "/" + strconv.FormatUint(a.selected.endpoint.GetIncarnation(), 10)
+	got := dispatch.AttemptID(response.Header)
+	if response.Header.Get(dispatch.HeaderRequestID) == "" {
+		got = cmp.Or(response.Header.Get(dispatch.HeaderRefused), want)
+	}
 	if got == want {
 		return nil
 	}
--- a/internal/router/protected.go
+++ b/internal/router/protected.go
@@ -162,11 +162,8 @@
 		return nil, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if reqErr := parseAgentError(response); reqErr != nil {
-		return nil, reqErr, nil
-	}
-	if err := a.verifyIdentity(response); err != nil {
-		return nil, nil, err
+	if reqErr, err := c.router.matchResponse(a, response); reqErr != nil || err != nil {
+		return nil, reqErr, err
 	}
 	body, err := readCompleteBody(a, response)
 	if err != nil {
--- a/internal/router/unprotected.go
+++ b/internal/router/unprotected.go
@@ -108,12 +108,13 @@
 		return c.handleFailure(ctx, a, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if reqErr := parseAgentError(response); reqErr != nil {
-		return c.handleAgentError(a, reqErr)
-	}
-	if err := a.verifyIdentity(response); err != nil {
+	reqErr, err := c.router.matchResponse(a, response)
+	if err != nil {
 		return c.handleFailure(ctx, a, err)
 	}
+	if reqErr != nil {
+		return c.handleAgentError(a, reqErr)
+	}
 	if c.request.streaming && response.StatusCode == http.StatusOK {
 		return c.relayStream(ctx, a, response)
 	}
