Refuse endpoints whose address can't be connected to

A report passed with any address that net.SplitHostPort accepts: a port of 0, 99999 or a name, no host, an unspecified or multicast IP, a malformed IPv4 address, which then is a host name to be looked up, or an IPv6 zone, which only its own host knows. Such an endpoint was Ready at every entry and was chosen; no attempt could be sent to it. "10.0.0.9:080" was a second owner of the address 10.0.0.9:80.

The directory checks host and port, with one form for an address: ports have no leading zeros. Host names are allowed as before.

--- a/internal/directory/check.go
+++ b/internal/directory/check.go
@@ -36,6 +36,9 @@
 			return &InvalidError{Field: name.field}
 		}
 	}
+	if e.State != Gone && !isAddress(e.Address) {
+		return &InvalidError{Field: "address"}
+	}
 	return nil
 }
 
--- a/internal/fleet/odd_endpoint_test.go
+++ b/internal/fleet/odd_endpoint_test.go
@@ -20,7 +20,7 @@
 	name := strings.Repeat("n", directory.MaxNameBytes)
 	event := &pb.FleetEvent{}
 	for i := range directory.MaxEndpoints {
-		e := directory.Endpoint{ID: fmt.Sprintf("%05d", i) + name[5:], Service: name, FailureDomain: name, Version: name, Address: name, Slots: 1 << 20, State: directory.Ready, StartedUnixMS: 1 << 53, Sequence: 1 << 53}
+		e := directory.Endpoint{ID: fmt.Sprintf("%05d", i) + name[5:], Service: name, FailureDomain: name, Version: name, Address: strings.Repeat("n", directory.MaxNameBytes-len(":80")) + ":80", Slots: 1 << 20, State: directory.Ready, StartedUnixMS: 1 << 53, Sequence: 1 << 53}
 		g.Expect(e.Check()).To(Succeed())
 		event.Endpoints = append(event.Endpoints, endpointToProto(e, time.Now()))
 	}
