Leave out odd endpoints that a control host sends

An entry merged whatever a control host sent. A host of an older build accepts odd reports and passes them on: an endpoint without a usable address was chosen, state 257 was read as 1 (ready), and a warmup or age beyond the range of a duration came out as any time.

endpointFromProto checks what control hosts check, apart from what depends on a clock, and returns a typed error.

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -16,13 +16,28 @@
 		ColdMs: max(e.WarmupEndsAt.Sub(now), 0).Milliseconds(), AgeMs: now.Sub(e.LastReportAt).Milliseconds(), Version: e.Version}
 }
 
-func endpointFromProto(p *pb.FleetEndpoint, now time.Time) directory.Endpoint {
-	return directory.Endpoint{ID: p.Id, Service: p.Service, Address: p.Address, FailureDomain: p.FailureDomain,
+// endpointFromProto returns a *directory.InvalidError for an endpoint that can't be used: a control
+// host of an older build accepts more reports.
+func endpointFromProto(p *pb.FleetEndpoint, now time.Time) (directory.Endpoint, error) {
+	switch {
+	case p.State > uint32(directory.Gone):
+		return directory.Endpoint{}, &directory.InvalidError{Field: "state"}
+	case p.ColdMs < 0 || p.ColdMs > directory.MaxWarmup.Milliseconds():
+		return directory.Endpoint{}, &directory.InvalidError{Field: "warmup"}
+	case p.AgeMs < -maxReportAge.Milliseconds() || p.AgeMs > maxReportAge.Milliseconds():
+		return directory.Endpoint{}, &directory.InvalidError{Field: "age"}
+	}
+	e := directory.Endpoint{ID: p.Id, Service: p.Service, Address: p.Address, FailureDomain: p.FailureDomain,
 		Slots: int(p.Slots), State: directory.State(p.State), StartedUnixMS: p.BornMs, Sequence: p.Sequence,
 		WarmupEndsAt: now.Add(time.Duration(p.ColdMs) * time.Millisecond),
 		LastReportAt: now.Add(-time.Duration(p.AgeMs) * time.Millisecond), Version: p.Version}
+	return e, e.Check()
 }
 
+// maxReportAge bounds the age of a report. It is much longer than a control host keeps an endpoint
+// without one.
+const maxReportAge = 24 * time.Hour
+
 func endpointLoadsToProto(loads EndpointLoads) *pb.EndpointLoads {
 	out := &pb.EndpointLoads{}
 	for key, load := range loads {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -237,8 +237,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	for _, e := range event.Endpoints {
-		f.directory.MergeReport(endpointFromProto(e, now))
+	for _, p := range event.Endpoints {
+		e, err := endpointFromProto(p, now)
+		if err != nil {
+			f.options.Logger.Warn("endpoint of a control host left out", "url", h.url, "endpoint", p.Id[:min(len(p.Id), directory.MaxNameBytes)], "error", err)
+			continue
+		}
+		f.directory.MergeReport(e)
 	}
 	var changed []directory.Endpoint
 	if changed, f.directoryRevision = f.directory.ChangedSince(f.directoryRevision); len(changed) > 0 {
--- a/internal/fleet/odd_endpoint_test.go
+++ b/internal/fleet/odd_endpoint_test.go
@@ -1,15 +1,21 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
@@ -27,3 +33,72 @@
 	const otherFields = 1 << 20
 	g.Expect(proto.Size(event)).To(BeNumerically("<", rpc.MaxMessageBytes-otherFields))
 }
+
+// olderHost is a control host that sends endpoints as an older build accepts them.
+type olderHost struct {
+	trefoilkeelv1connect.UnimplementedFleetServiceHandler
+	events chan *pb.FleetEvent
+}
+
+func (h *olderHost) Watch(ctx context.Context, _ *connect.Request[pb.WatchFleetRequest], stream *connect.ServerStream[pb.FleetEvent]) error {
+	ticker := time.NewTicker(keepAliveInterval)
+	defer ticker.Stop()
+	for {
+		event := &pb.FleetEvent{}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case event = <-h.events:
+		}
+		if err := stream.Send(event); err != nil {
+			return err
+		}
+	}
+}
+
+// Guards against an entry that uses an odd endpoint which a control host of an older build has
+// accepted, or that drops the endpoints beside it.
+func TestOddEndpointOfAnOlderControlHostIsLeftOut(t *testing.T) {
+	older := &olderHost{events: make(chan *pb.FleetEvent, 1)}
+	path, handler := trefoilkeelv1connect.NewFleetServiceHandler(older)
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	server := httptest.NewServer(mux)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	f, c := startFollower(t, "e", &controlHost{http: server})
+	sound := func(id string) *pb.FleetEndpoint {
+		return endpointToProto(endpoint(id, 1, directory.Ready), time.Now())
+	}
+	NewWithT(t).Eventually(func() int { return f.Status().LiveHostCount }, "5s").Should(Equal(1))
+	for name, spoil := range map[string]func(*pb.FleetEndpoint){
+		"port out of range":        func(p *pb.FleetEndpoint) { p.Address = "10.0.0.9:99999" },
+		"no address":               func(p *pb.FleetEndpoint) { p.Address = "" },
+		"no ID":                    func(p *pb.FleetEndpoint) { p.Id = "" },
+		"ID with a line break":     func(p *pb.FleetEndpoint) { p.Id = "odd\n" },
+		"long version":             func(p *pb.FleetEndpoint) { p.Version = strings.Repeat("v", 1<<10) },
+		"no state":                 func(p *pb.FleetEndpoint) { p.State = 0 },
+		"state of a later build":   func(p *pb.FleetEndpoint) { p.State = 9 },
+		"state that wraps":         func(p *pb.FleetEndpoint) { p.State = 1<<8 + uint32(directory.Ready) },
+		"many slots":               func(p *pb.FleetEndpoint) { p.Slots = math.MaxUint32 },
+		"negative start":           func(p *pb.FleetEndpoint) { p.BornMs = -1 },
+		"start out of range":       func(p *pb.FleetEndpoint) { p.BornMs = math.MaxInt64 },
+		"last sequence number":     func(p *pb.FleetEndpoint) { p.Sequence = math.MaxUint64 },
+		"warmup out of range":      func(p *pb.FleetEndpoint) { p.ColdMs = math.MaxInt64 },
+		"warmup that is negative":  func(p *pb.FleetEndpoint) { p.ColdMs = math.MinInt64 },
+		"age out of range":         func(p *pb.FleetEndpoint) { p.AgeMs = math.MaxInt64 },
+		"age that is out of range": func(p *pb.FleetEndpoint) { p.AgeMs = math.MinInt64 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			id := strings.ReplaceAll(name, " ", "-")
+			odd := sound("odd-" + id)
+			spoil(odd)
+			older.events <- &pb.FleetEvent{Endpoints: []*pb.FleetEndpoint{sound("first-" + id), odd, sound("last-" + id)}}
+			g.Eventually(c.state("last-"+id), "2s", "2ms").Should(Equal(directory.Ready))
+			g.Expect(c.state("first-" + id)()).To(Equal(directory.Ready))
+			g.Expect(c.state(odd.Id)()).To(BeZero())
+			g.Expect(f.Status().LiveHostCount).To(Equal(1))
+		})
+	}
+}
