Forget the former addresses of an endpoint

The directory kept the owner of each address for as long as the process ran, apart from the address that the endpoint had when it was removed. One ID that reports another address each time thus takes memory without end, at control hosts and entries, until the process ends by its limit.

An endpoint that reports another address gives up the one before.

TestFormerAddressesAreForgotten: 1,000 addresses were remembered after 1,000 reports of one ID before, one now.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -102,6 +102,9 @@
 		old.Endpoint = e
 		return changed
 	}
+	if old != nil && old.Address != e.Address {
+		d.releaseAddress(&old.Endpoint)
+	}
 	d.revision++
 	merged := &record{Endpoint: e, changedRevision: d.revision, firstReportAt: e.LastReportAt}
 	if old != nil && old.StartedUnixMS == e.StartedUnixMS {
@@ -179,6 +182,13 @@
 	return true
 }
 
+// releaseAddress forgets that e is the owner of its address.
+func (d *Directory) releaseAddress(e *Endpoint) {
+	if d.addressOwners[e.Address] == e.ID {
+		delete(d.addressOwners, e.Address)
+	}
+}
+
 // equalAttributes reports whether two reports differ at most in their sequence
 // number and times.
 func equalAttributes(a, b *Endpoint) bool {
@@ -208,9 +218,7 @@
 	for id, e := range d.byID {
 		age := now.Sub(e.LastReportAt)
 		if e.State != Ready && age > RemovalTimeout {
-			if d.addressOwners[e.Address] == id {
-				delete(d.addressOwners, e.Address)
-			}
+			d.releaseAddress(&e.Endpoint)
 			delete(d.byID, id)
 			continue
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 	"time"
 
@@ -178,3 +179,24 @@
 	restarted, _ := d.Get("i")
 	g.Expect(restarted.Version).To(BeEmpty(), "another incarnation may have another version")
 }
+
+// Guards against addresses that are remembered for good, of an endpoint that reports another one
+// each time.
+func TestFormerAddressesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	d := New()
+	for i := range 1000 {
+		e := report("x", 1, uint64(i+1), Ready)
+		e.Address = "10.0.0.9:" + strconv.Itoa(i+1)
+		d.MergeReport(e)
+	}
+	g.Expect(len(d.addressOwners)).To(Equal(1))
+	moved := report("x", 1, 2000, Ready)
+	moved.Address = "10.0.0.9:1000"
+	d.MergeReport(moved)
+	other := report("y", 2, 1, Ready)
+	other.Address = moved.Address
+	d.MergeReport(other)
+	e, _ := d.Get("x")
+	g.Expect(e.State).To(Equal(Gone), "its present address is another endpoint's")
+}
