Take further endpoints into a full directory

A directory with 10,000 endpoints ignored every further one, without a line. Control hosts forget an ID a minute after its last report, so that it takes more than 160 new IDs a second to fill one. Entries forget none: an ID that departed or fell silent stays for the life of the process. A sender that uses a new ID each second, or endpoints that come and go for long enough, thus keep all new endpoints from every entry after 10,000 IDs; that is less than three hours at one a second.

A full directory now drops a sixteenth of the endpoints that departed, or if there are none, of the silent ones, the oldest first. An entry stops using those it drops (TakeDropped). Control hosts don't tell entries: another host may know newer reports of the endpoint. Endpoints that are ready or drain are kept.

TestFullDirectoryTakesFurtherEndpoints failed before and passes, as do TestFollowerLearnsWhatAFullDirectoryDrops and TestEntryTakesEndpointsBeyondAFullDirectory, which need the new call.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,8 +4,11 @@
 package directory
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -57,8 +60,14 @@
 	// endpoint that is not ready is removed. It exceeds the longest delay of a report,
 	// so that a late report can't restore a removed endpoint.
 	RemovalTimeout = time.Minute
-	// MaxEndpoints is the capacity of a Directory; further endpoints are ignored.
+	// MaxEndpoints is the capacity of a Directory. For further endpoints it drops those
+	// that departed or fell silent first, and takes none while all others are in use.
 	MaxEndpoints = 10000
+	// dropDivisor is the part of the endpoints that may be dropped which is dropped at once,
+	// since the search looks at all endpoints.
+	dropDivisor = 16
+	// maxDropped limits the dropped endpoints that TakeDropped returns.
+	maxDropped = 2048
 )
 
 // Directory holds the newest report of each endpoint. It has no clock or I/O and
@@ -67,6 +76,7 @@
 	revision      uint64
 	byID          map[string]*record
 	addressOwners map[string]string // endpoint ID by address
+	dropped       []Endpoint        // for TakeDropped, oldest first
 }
 
 // record is an endpoint and the directory revision of its last change.
@@ -92,7 +102,7 @@
 	if old != nil && !supersedes(&e, &old.Endpoint) {
 		return changed
 	}
-	if old == nil && len(d.byID) >= MaxEndpoints {
+	if old == nil && !d.makeRoom() {
 		return false
 	}
 	if e.State != Gone && !d.claimAddress(&e) {
@@ -182,6 +192,55 @@
 	return true
 }
 
+// makeRoom drops some endpoints if the directory is full. It returns whether there is room.
+func (d *Directory) makeRoom() bool {
+	if len(d.byID) < MaxEndpoints {
+		return true
+	}
+	candidates := d.inState(Gone)
+	if len(candidates) == 0 {
+		candidates = d.inState(Silent)
+	}
+	slices.SortFunc(candidates, func(a, b *record) int {
+		return cmp.Or(a.LastReportAt.Compare(b.LastReportAt), strings.Compare(a.ID, b.ID))
+	})
+	for _, e := range candidates[:(len(candidates)+dropDivisor-1)/dropDivisor] {
+		d.drop(e)
+	}
+	return len(d.byID) < MaxEndpoints
+}
+
+// inState returns the endpoints in a state in any order.
+func (d *Directory) inState(state State) (found []*record) {
+	for _, e := range d.byID {
+		if e.State == state {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// drop removes an endpoint before its time.
+func (d *Directory) drop(e *record) {
+	d.releaseAddress(&e.Endpoint)
+	delete(d.byID, e.ID)
+	d.dropped = append(d.dropped, e.Endpoint)
+	d.dropped = d.dropped[max(len(d.dropped)-maxDropped, 0):]
+}
+
+// TakeDropped returns the endpoints that were dropped for lack of room since the last call and have
+// not reported again, as departed. Other hosts must not learn of it: they may know newer reports.
+func (d *Directory) TakeDropped() (dropped []Endpoint) {
+	for _, e := range d.dropped {
+		if d.byID[e.ID] == nil {
+			e.State = Gone
+			dropped = append(dropped, e)
+		}
+	}
+	d.dropped = nil
+	return dropped
+}
+
 // releaseAddress forgets that e is the owner of its address.
 func (d *Directory) releaseAddress(e *Endpoint) {
 	if d.addressOwners[e.Address] == e.ID {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -200,3 +200,50 @@
 	e, _ := d.Get("x")
 	g.Expect(e.State).To(Equal(Gone), "its present address is another endpoint's")
 }
+
+// Guards against a full directory, of IDs that come once and go, that no further endpoint enters.
+func TestFullDirectoryTakesFurtherEndpoints(t *testing.T) {
+	for _, state := range []State{Gone, Silent} {
+		g := NewWithT(t)
+		d := New()
+		d.MergeReport(report("sound", 1, 1, Ready))
+		for i := range MaxEndpoints + 100 {
+			e := report("odd-"+strconv.Itoa(i), 1, 1, state)
+			e.LastReportAt = epoch.Add(time.Duration(i) * time.Millisecond)
+			d.MergeReport(e)
+		}
+		g.Expect(d.MergeReport(report("further", 1, 1, Ready))).To(BeTrue(), state.String())
+		g.Expect(d.Len()).To(BeNumerically("<=", MaxEndpoints))
+		for _, id := range []string{"sound", "further"} {
+			e, _ := d.Get(id)
+			g.Expect(e.State).To(Equal(Ready))
+		}
+	}
+}
+
+// Guards against a follower that keeps the endpoints which a full directory has dropped.
+func TestFollowerLearnsWhatAFullDirectoryDrops(t *testing.T) {
+	g := NewWithT(t)
+	d, copied, revision := New(), map[string]bool{}, uint64(0)
+	for i := range 2 * MaxEndpoints {
+		e := report("odd-"+strconv.Itoa(i), 1, 1, Silent)
+		e.LastReportAt = epoch.Add(time.Duration(i) * time.Millisecond)
+		d.MergeReport(e)
+		if i%100 != 0 {
+			continue
+		}
+		var changed []Endpoint
+		changed, revision = d.ChangedSince(revision)
+		for _, e := range changed {
+			g.Expect(e.State).To(Equal(Silent), "other hosts may know newer reports")
+			copied[e.ID] = true
+		}
+		for _, e := range d.TakeDropped() {
+			g.Expect(e.State).To(Equal(Gone))
+			delete(copied, e.ID)
+		}
+	}
+	g.Expect(len(copied)).To(BeNumerically("<=", MaxEndpoints))
+	newest := "odd-" + strconv.Itoa(2*MaxEndpoints-100)
+	g.Expect(copied[newest]).To(BeTrue())
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -246,7 +246,8 @@
 		f.directory.MergeReport(e)
 	}
 	var changed []directory.Endpoint
-	if changed, f.directoryRevision = f.directory.ChangedSince(f.directoryRevision); len(changed) > 0 {
+	changed, f.directoryRevision = f.directory.ChangedSince(f.directoryRevision)
+	if changed = append(f.directory.TakeDropped(), changed...); len(changed) > 0 {
 		f.options.Consumer.UpdateEndpoints(changed)
 	}
 	f.confirmed = f.confirmed || event.Confirmed
--- a/internal/fleet/odd_endpoint_test.go
+++ b/internal/fleet/odd_endpoint_test.go
@@ -102,3 +102,29 @@
 		})
 	}
 }
+
+// Guards against an entry that takes no further endpoint after it has known as many as a directory
+// holds, or that keeps what the directory has dropped.
+func TestEntryTakesEndpointsBeyondAFullDirectory(t *testing.T) {
+	g := NewWithT(t)
+	c := &recordingConsumer{endpoints: map[string]directory.State{}}
+	f := NewFollower(FollowerOptions{Consumer: c, Logger: discardLogger})
+	const perEvent = 1000
+	for i := 0; i <= directory.MaxEndpoints; i += perEvent {
+		event := &pb.FleetEvent{}
+		for j := range perEvent {
+			event.Endpoints = append(event.Endpoints, endpointToProto(endpoint(fmt.Sprint("odd-", i+j), 1, directory.Silent), time.Now()))
+		}
+		f.applyEvent(&host{}, event)
+	}
+	f.applyEvent(&host{}, &pb.FleetEvent{Endpoints: []*pb.FleetEndpoint{endpointToProto(endpoint("further", 1, directory.Ready), time.Now())}})
+	g.Expect(c.state("further")()).To(Equal(directory.Ready))
+	present := 0
+	for _, state := range c.endpoints {
+		if state != directory.Gone {
+			present++
+		}
+	}
+	g.Expect(present).To(Equal(f.Status().EndpointCount))
+	g.Expect(present).To(BeNumerically("<=", directory.MaxEndpoints))
+}
