Refuse the highest number as the version of a configuration

catalog.Validate refuses it (400), and the state machine ignores such a command, so that every host of this build goes on with one that is in the log. While older builds run beside it their copies would differ; it needs an operator who sends that number.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -103,6 +104,9 @@
 	HeaderTimeout, IdleTimeout   time.Duration
 }
 
+// MaxVersion is the highest version of a configuration that can be stored.
+const MaxVersion = math.MaxUint64 - 1
+
 // Document is a complete configuration.
 type Document struct {
 	Version    uint64
@@ -125,8 +129,11 @@
 // Validate returns nil or an *InvalidError that lists every problem.
 func (d *Document) Validate() error {
 	v := validator{serviceNames: map[string]bool{}, routeByHostAndPrefix: map[string]string{}, workspaceByKey: map[string]string{}}
-	if d.Version == 0 {
+	switch {
+	case d.Version == 0:
 		v.addf("the version is missing")
+	case d.Version > MaxVersion:
+		v.addf("the version is over %d", uint64(MaxVersion))
 	}
 	for _, s := range d.Services {
 		v.serviceNames[s.Name] = true
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"sync"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/duty"
@@ -41,6 +42,10 @@
 	return fmt.Sprintf("document: %d bytes are too few for a snapshot", e.SizeBytes)
 }
 
+// MaxVersion is the highest version of a document; a command with a higher one has no effect. The
+// next number marks a section of a snapshot.
+const MaxVersion = math.MaxUint64 - 1
+
 // versionBytes is the size of the version that precedes the content.
 const versionBytes = 8
 
@@ -64,7 +69,7 @@
 			m.applyServed(command)
 		case version == quarantineCommandVersion:
 			m.applyQuarantine(command)
-		case version > m.version:
+		case version > m.version && version <= MaxVersion:
 			m.replace(version, command[versionBytes:])
 		}
 	}
