Bound the figures that endpoints name in responses

A limit of more requests a second than an int holds was converted to a number of permits, which Go leaves to the processor.

A limit counts as at most 1e9 requests a second, also where another host passes it on.

Permits on amd64 were not run.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
@@ -36,7 +37,11 @@
 }
 
 func noticeFromProto(now time.Time, p *pb.EndpointLimit) throttle.Notice {
-	return throttle.Notice{Limited: p.Limited, PerSecond: max(p.PerSecond, 0), At: beforeMS(now, p.AgeMs)}
+	perSecond := min(max(p.PerSecond, 0), throttle.MaxPerSecond)
+	if math.IsNaN(perSecond) {
+		perSecond = 0
+	}
+	return throttle.Notice{Limited: p.Limited, PerSecond: perSecond, At: beforeMS(now, p.AgeMs)}
 }
 
 func limitWishesToProto(now time.Time, wishes []balance.LimitWish) []*pb.EndpointLimit {
--- a/internal/fleet/odd_endpoint_test.go
+++ b/internal/fleet/odd_endpoint_test.go
@@ -18,6 +18,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
+	"github.com/trefoilkeel/trefoilkeel/internal/throttle"
 )
 
 // Guards against a first event that is too large for every entry, because of long names.
@@ -103,6 +104,14 @@
 	}
 }
 
+// Guards against a limit of another host whose permits can't be counted.
+func TestOddLimitOfAnotherHostIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	for sent, want := range map[float64]float64{math.NaN(): 0, -1: 0, math.Inf(-1): 0, 2.5: 2.5, 1e300: throttle.MaxPerSecond, math.Inf(1): throttle.MaxPerSecond} {
+		g.Expect(noticeFromProto(time.Now(), &pb.EndpointLimit{Limited: true, PerSecond: sent}).PerSecond).To(Equal(want), "%v", sent)
+	}
+}
+
 // Guards against an entry that takes no further endpoint after it has known as many as a directory
 // holds, or that keeps what the directory has dropped.
 func TestEntryTakesEndpointsBeyondAFullDirectory(t *testing.T) {
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -53,6 +53,8 @@
 	// limitTTL is how long a limit holds that no response has confirmed.
 	limitTTL  = 5 * time.Minute
 	maxLimits = 4096
+	// MaxPerSecond bounds a limit, in requests a second, so that permits can be counted.
+	MaxPerSecond = 1e9
 	// demandCarryover and minDemand are those of AgedDemand.
 	demandCarryover = 0.5
 	minDemand       = 0.05
