--- a/internal/upstream/keepalive.go
+++ b/internal/upstream/keepalive.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// maxKeepAliveSeconds bounds the timeout parameter, which must fit a duration.
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 // parseKeepAlive returns the timeout parameter of a Keep-Alive header.
 func parseKeepAlive(value string) (time.Duration, bool) {
 	for parameter := range strings.SplitSeq(value, ",") {
@@ -17,7 +20,7 @@
 		if err != nil || seconds < 0 {
 			return 0, false
 		}
-		return time.Duration(seconds) * time.Second, true
+		return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second, true
 	}
 	return 0, false
 }
