--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -44,6 +44,84 @@
 	})
 }
 
+// stateCopy is a host's copy of the state, with what its data folder holds besides the log.
+type stateCopy struct {
+	machine       *state.Machine
+	index         uint64 // of the last applied command
+	snapshotIndex uint64
+	snapshot      []byte
+}
+
+// reopen builds the state from the stored snapshot, as the opening of a data folder does.
+func (c *stateCopy) reopen(t *rapid.T) {
+	c.machine, c.index = state.New(state.Options{}), c.snapshotIndex
+	if c.snapshotIndex > 0 {
+		if err := c.machine.Restore(c.snapshot); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against copies of the state that differ at the same index, or answer a command differently,
+// after any reopenings of data folders, snapshots and installed snapshots.
+func TestCopiesAgreeHoweverTheyAreReopened(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// The reference applies every command once and is never reopened.
+		reference := state.New(state.Options{})
+		commands, results, snapshots := [][]byte{nil}, [][]byte{nil}, [][]byte{nil}
+		copies := []*stateCopy{{}, {}, {}}
+		for _, c := range copies {
+			c.reopen(t)
+		}
+		drawCopy := func(label string) *stateCopy {
+			return copies[rapid.IntRange(0, len(copies)-1).Draw(t, label)]
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			c := drawCopy("copy")
+			switch rapid.SampledFrom([]string{"propose", "propose", "propose", "apply", "apply", "snapshot", "install", "reopen"}).Draw(t, "step") {
+			case "propose":
+				command, err := proto.Marshal(drawCommand(t))
+				if err != nil {
+					t.Fatal(err)
+				}
+				result := reference.Apply(uint64(len(commands)), command)
+				snapshot, err := reference.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				commands, results, snapshots = append(commands, command), append(results, result), append(snapshots, snapshot)
+			case "apply":
+				for until := rapid.Uint64Range(c.index, uint64(len(commands)-1)).Draw(t, "until"); c.index < until; {
+					c.index++
+					if result := c.machine.Apply(c.index, commands[c.index]); string(result) != string(results[c.index]) {
+						t.Fatalf("result of command %d: %q, want %q", c.index, result, results[c.index])
+					}
+				}
+			case "snapshot":
+				var err error
+				if c.snapshot, err = c.machine.Snapshot(); err != nil {
+					t.Fatal(err)
+				}
+				c.snapshotIndex = c.index
+			case "install":
+				if from := drawCopy("from"); from.snapshotIndex > c.index {
+					c.snapshot, c.snapshotIndex, c.index = from.snapshot, from.snapshotIndex, from.snapshotIndex
+					if err := c.machine.Restore(c.snapshot); err != nil {
+						t.Fatal(err)
+					}
+				}
+			case "reopen":
+				c.reopen(t)
+			}
+			for i, c := range copies {
+				if got, err := c.machine.Snapshot(); err != nil || c.index > 0 && string(got) != string(snapshots[c.index]) {
+					t.Fatalf("copy %d differs at index %d (%v)", i, c.index, err)
+				}
+			}
+		}
+	})
+}
+
 // Commands and snapshots that can't be decoded must not change the state.
 func TestUndecodableInputChangesNothing(t *testing.T) {
 	m := state.New(state.Options{})
