--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -46,17 +46,17 @@
 	if role.listener == nil {
 		return
 	}
-	stateMachine := state.New(state.Options{})
+	var stateMachine *state.Machine
 	logReplica, err := replica.Open(replica.Options{
-		ID:             s.ID,
-		ClusterName:    s.ClusterID,
-		DataDir:        d.settings.Process.DataFolder,
-		SelfURL:        role.url,
-		InitialMembers: d.initialMembers(s, role),
-		Bootstrap:      s.Bootstrap,
-		StateMachine:   stateMachine,
-		HTTPClient:     d.rpcClient(),
-		Logger:         d.logger,
+		ID:              s.ID,
+		ClusterName:     s.ClusterID,
+		DataDir:         d.settings.Process.DataFolder,
+		SelfURL:         role.url,
+		InitialMembers:  d.initialMembers(s, role),
+		Bootstrap:       s.Bootstrap,
+		NewStateMachine: func() replica.StateMachine { stateMachine = state.New(state.Options{}); return stateMachine },
+		HTTPClient:      d.rpcClient(),
+		Logger:          d.logger,
 	})
 	if err != nil {
 		d.problems = append(d.problems, err)
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -42,10 +42,10 @@
 
 // DutiesOptions configures Duties.
 type DutiesOptions struct {
-	Log          ReplicatedLog
-	StateMachine *document.StateMachine
-	Reporter     UsageReporter
-	Usage        UsageSource
+	Log      ReplicatedLog
+	State    StateSource // of the log
+	Reporter UsageReporter
+	Usage    UsageSource
 
 	HostID            uint64
 	HostName          string        // under which the outside knows this host
@@ -63,24 +63,29 @@
 // carries it out.
 type Duties struct {
 	options DutiesOptions
-	keeper  *duty.Keeper // used by Run alone, as all below
+	config  duty.Config            // Life is set for each keeper
+	keeper  *duty.Keeper           // decides by machine; nil while that isn't up to date; used by Run alone, as all below
+	machine *document.StateMachine // of the opening of the log that the keeper decides for
 	clock   *windowTime
 	log     *dutyLog
 }
 
 // NewDuties returns duties that Run performs. An error is a *duty.ConfigError.
 func NewDuties(o DutiesOptions) (*Duties, error) {
-	config := duty.Config{Host: o.HostID, HostName: o.HostName, Life: max(rand.Uint64(), 1),
+	config := duty.Config{Host: o.HostID, HostName: o.HostName, Life: newLife(),
 		Lease: max(dutyLease, 2*(o.CallTimeout+dutyMargin)), CallTimeout: o.CallTimeout, Margin: dutyMargin, Reuse: o.Reuse,
 		CallInterval: time.Duration(float64(time.Second) / o.MaxCallsPerSecond),
 		WindowLength: o.UsageWindow, Due: o.UsageDue, SettleDelay: min(usageSettleDelay, o.UsageDue/4)}
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
-	return &Duties{options: o, keeper: duty.NewKeeper(config, steady.Now()), clock: newWindowTime(o.UsageWindow),
+	return &Duties{options: o, config: config, clock: newWindowTime(o.UsageWindow),
 		log: &dutyLog{logger: o.Logger, metrics: o.Metrics, windowLength: o.UsageWindow, failures: map[uint64]error{}}}, nil
 }
 
+// newLife returns a random number that isn't 0.
+func newLife() uint64 { return max(rand.Uint64(), 1) }
+
 // Run performs the duties until ctx ends and then releases them. The log must run until Run has
 // returned.
 func (d *Duties) Run(ctx context.Context) error {
@@ -92,7 +97,15 @@
 		if stopping && stopBy == 0 {
 			stopBy = steady.Now() + dutyStopTimeout
 		}
-		changed := d.observe()
+		changed, replaced := d.observe()
+		if d.keeper == nil {
+			select {
+			case <-ctx.Done():
+				return nil // what this process held before is no longer its own
+			case <-replaced:
+			}
+			continue
+		}
 		action := d.keeper.Next(d.clock.now(), d.inputs(stopping))
 		d.log.givenUp(action.GivenUp, d.options.Log.Status().UnavailableReason)
 		switch action.Kind {
@@ -103,7 +116,7 @@
 				d.options.Logger.Warn("duties not released")
 				return nil
 			}
-			d.waitFor(ctx, changed, action.Until)
+			d.waitFor(ctx, changed, replaced, action.Until)
 		case duty.Propose:
 			d.propose(background, action)
 		case duty.Collect:
@@ -114,14 +127,27 @@
 	}
 }
 
-// observe passes the record that this host has applied to the keeper and returns a channel that is
-// closed at its next change.
-func (d *Duties) observe() (changed <-chan struct{}) {
-	record, changed := d.options.StateMachine.Duties()
+// observe passes the record that this host has applied to the keeper. It returns channels that are
+// closed at the next change of the record and once the state is replaced. Each opening of the log has
+// a keeper with a life of its own: what an earlier one held or was waiting for rests on a state that
+// was given up. Without a state that is up to date there is no keeper.
+func (d *Duties) observe() (changed, replaced <-chan struct{}) {
+	view := d.options.State.State()
+	if !view.UpToDate {
+		d.keeper, d.machine = nil, nil
+		d.log.holding(false, duty.Holding{Token: d.log.token})
+		return nil, view.Replaced
+	}
+	if view.Machine != d.machine {
+		config := d.config
+		config.Life = newLife()
+		d.keeper, d.machine = duty.NewKeeper(config, steady.Now()), view.Machine
+	}
+	record, changed := view.Machine.Duties()
 	d.keeper.Observe(steady.Now(), record)
 	_, holds := d.keeper.Holds()
 	d.log.holding(holds, record.Holding)
-	return changed
+	return changed, view.Replaced
 }
 
 // inputs returns what the keeper decides by besides the record.
@@ -130,9 +156,9 @@
 	return duty.Inputs{IsLeader: status.LeaderID == d.options.HostID, Rank: takeoverRank(status, d.options.HostID), Stopping: stopping, HasCounts: d.options.Usage.HasUsage}
 }
 
-// waitFor waits until a time of the steady clock or a change of the record. Once ctx has ended it
-// waits at most stopPollInterval.
-func (d *Duties) waitFor(ctx context.Context, changed <-chan struct{}, until time.Duration) {
+// waitFor waits until a time of the steady clock, a change of the record or another state. Once ctx has
+// ended it waits at most stopPollInterval.
+func (d *Duties) waitFor(ctx context.Context, changed, replaced <-chan struct{}, until time.Duration) {
 	if ctx.Err() != nil {
 		wait.For(context.WithoutCancel(ctx), min(max(until-steady.Now(), 0), stopPollInterval))
 		return
@@ -142,6 +168,7 @@
 	select {
 	case <-ctx.Done():
 	case <-changed:
+	case <-replaced:
 	case <-timer.C:
 	}
 }
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -92,8 +92,12 @@
 
 func startDutyHost(t *testing.T, reporter *fakeReporter) *dutyHost {
 	machine := document.New()
+	return startDutyHostWith(t, reporter, machine, fixedState{machine})
+}
+
+func startDutyHostWith(t *testing.T, reporter *fakeReporter, machine *document.StateMachine, state StateSource) *dutyHost {
 	h := &dutyHost{machine: machine, log: &singleLog{MemoryLog: replica.NewMemoryLog(machine)}, reporter: reporter, metrics: metrics.New(), done: make(chan error, 1)}
-	duties, err := NewDuties(DutiesOptions{Log: h.log, StateMachine: machine, Reporter: reporter, Usage: fakeUsage{first: uint64(time.Duration(time.Now().UnixNano()) / testWindow)}, HostID: 1, HostName: "control-1",
+	duties, err := NewDuties(DutiesOptions{Log: h.log, State: state, Reporter: reporter, Usage: fakeUsage{first: uint64(time.Duration(time.Now().UnixNano()) / testWindow)}, HostID: 1, HostName: "control-1",
 		CallTimeout: 100 * time.Millisecond, Reuse: time.Second, UsageWindow: testWindow, UsageDue: 40 * testWindow, MaxCallsPerSecond: 1000,
 		Logger: slog.New(slog.DiscardHandler), Metrics: h.metrics})
 	if err != nil {
--- a/internal/fleet/duty_actions.go
+++ b/internal/fleet/duty_actions.go
@@ -43,9 +43,10 @@
 func (d *Duties) propose(ctx context.Context, action duty.Action) {
 	ctx, cancel := context.WithTimeout(ctx, dutyProposeTimeout)
 	defer cancel()
+	keeper := d.keeper
 	_, err := d.options.Log.Propose(ctx, document.EncodeDutyCommand(action.Command))
 	d.observe()
-	d.keeper.Proposed(steady.Now(), err == nil, rand.Float64())
+	keeper.Proposed(steady.Now(), err == nil, rand.Float64())
 	if err != nil {
 		d.options.Logger.Warn("command on duties not stored", "why", action.Why, "error", err)
 		return
@@ -78,12 +79,13 @@
 	}
 	report := UsageReport{Holder: d.options.HostName, Token: action.Token, Window: action.Window, Counts: counts}
 	began := steady.Now()
+	keeper := d.keeper
 	err := d.options.Reporter.ReportUsage(ctx, report, func() bool {
 		d.observe()
-		return d.keeper.MayCall(steady.Now())
+		return d.keeper == keeper && keeper.MayCall(steady.Now())
 	})
 	result, retryAfter := callResult(err)
-	d.keeper.Called(steady.Now(), action.Window, result, retryAfter, rand.Float64())
+	keeper.Called(steady.Now(), action.Window, result, retryAfter, rand.Float64())
 	d.log.called(report, result, err, d.clock.now().Wall, steady.Now()-began)
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,6 +42,11 @@
 
 func (l *singleHostLog) Status() replica.Status { return replica.Status{Members: *l.members.Load()} }
 
+// fixedState is a state that is up to date and never replaced.
+type fixedState struct{ machine *document.StateMachine }
+
+func (s fixedState) State() StateView { return StateView{Machine: s.machine, UpToDate: true} }
+
 // controlHost is a control host with its HTTP server.
 type controlHost struct {
 	*Server
@@ -59,7 +64,7 @@
 
 // startControlHost starts a control host with a log, which may be that of a host before.
 func startControlHost(t *testing.T, failureDomain string, log *singleHostLog, machine *document.StateMachine) *controlHost {
-	return startControlHostWith(t, log, ServerOptions{Log: log, StateMachine: machine, FailureDomain: failureDomain, MinVoters: 1, HTTPClient: http.DefaultClient, Logger: discardLogger})
+	return startControlHostWith(t, log, ServerOptions{Log: log, State: fixedState{machine}, FailureDomain: failureDomain, MinVoters: 1, HTTPClient: http.DefaultClient, Logger: discardLogger})
 }
 
 func startControlHostWith(t *testing.T, log *singleHostLog, o ServerOptions) *controlHost {
@@ -281,7 +286,7 @@
 // once.
 func TestFailedDataFolderIsReopened(t *testing.T) {
 	g := NewWithT(t)
-	supervisor := NewReplicaSupervisor(replica.Options{ID: 1, ClusterName: "c", DataDir: "/dev/null/no-folder", StateMachine: document.New(), Logger: discardLogger,
+	supervisor := NewReplicaSupervisor(replica.Options{ID: 1, ClusterName: "c", DataDir: "/dev/null/no-folder", Logger: discardLogger,
 		InitialMembers: []replica.Member{{ID: 1}}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -29,6 +29,8 @@
 	table    *quarantine.Table
 	outcomes exchangeLog[outcomeRecord]
 	unstored map[uint64]document.QuarantineChange // decided here, not yet applied by the log
+	stored   []document.QuarantinedPart           // what the log has stored, as last known
+	known    bool                                 // stored is of a state that was up to date
 	since    map[uint64]time.Time                 // when this host learned that a part is quarantined
 }
 
@@ -151,7 +153,7 @@
 	var expiredAt time.Time
 	wait.Every(ctx, quarantineDecideInterval, func() {
 		now := time.Now()
-		stored, _ := s.stateMachine.Quarantined()
+		stored := s.storedQuarantine()
 		s.mu.Lock()
 		if now.Sub(expiredAt) > quarantineExpireInterval {
 			s.quarantine.table.Expire(now)
@@ -173,6 +175,21 @@
 	})
 }
 
+// storedQuarantine returns the parts that the log has stored. While the state is built again from the
+// log after the data folder was opened again, these are the parts known before: neither a verdict nor
+// its time must start again from a state in which it is missing.
+func (s *Server) storedQuarantine() []document.QuarantinedPart {
+	view := s.state.State()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.quarantine
+	if view.Machine != nil && (view.UpToDate || !k.known) {
+		k.stored, _ = view.Machine.Quarantined()
+		k.known = view.UpToDate
+	}
+	return k.stored
+}
+
 // storeQuarantine appends changes to the log. What fails is decided and stored again later.
 func (s *Server) storeQuarantine(ctx context.Context, changes map[uint64]document.QuarantineChange) {
 	if len(changes) == 0 || !s.storingQuarantine.CompareAndSwap(false, true) {
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -69,9 +69,12 @@
 	_, newcomer := startFollower(t, "newcomer", hosts...)
 	g.Eventually(newcomer.quarantine, "3s").Should(Equal(map[uint64]bool{crashingPart: true}))
 
-	stored := func() []document.QuarantinedPart { parts, _ := hosts[0].stateMachine.Quarantined(); return parts }
+	stored := func() []document.QuarantinedPart {
+		parts, _ := hosts[0].state.State().Machine.Quarantined()
+		return parts
+	}
 	g.Eventually(stored, "3s").Should(ConsistOf(document.QuarantinedPart{Part: crashingPart, Active: true, Offences: 1}))
-	restarted := startControlHost(t, "a", hosts[0].log, hosts[0].stateMachine)
+	restarted := startControlHost(t, "a", hosts[0].log, hosts[0].state.State().Machine)
 	_, afterRestart := startFollower(t, "after", restarted)
 	g.Eventually(afterRestart.quarantine, "3s").Should(Equal(map[uint64]bool{crashingPart: true}))
 }
@@ -103,7 +106,7 @@
 	_, err := f.ExchangeLoad(context.Background(), LoadReport{Outcomes: AttemptOutcomes{Served: []ServedKey{{Key: crashingPart, SentAt: time.Now()}}}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(c.quarantine, "3s").Should(BeEmpty())
-	stored := func() []document.QuarantinedPart { parts, _ := host.stateMachine.Quarantined(); return parts }
+	stored := func() []document.QuarantinedPart { parts, _ := host.state.State().Machine.Quarantined(); return parts }
 	g.Eventually(stored, "3s").Should(BeEmpty())
 }
 
--- /dev/null
+++ b/internal/fleet/reopened_log_test.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/duty"
+	"github.com/trefoilkeel/trefoilkeel/internal/journal"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
+	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
+)
+
+// reopenTimeout limits the waits of these tests; no result depends on it.
+const reopenTimeout = 30 * time.Second
+
+// logHost is a control host with a data folder.
+type logHost struct {
+	*ReplicaSupervisor
+	folder string
+}
+
+// startLogHosts starts control hosts that form a cluster and end with the test.
+func startLogHosts(t *testing.T, count int) []*logHost {
+	var members []replica.Member
+	var listeners []*httptest.Server
+	for i := range count {
+		server := httptest.NewUnstartedServer(nil)
+		server.Config.Protocols = new(http.Protocols)
+		server.Config.Protocols.SetHTTP1(true)
+		server.Config.Protocols.SetUnencryptedHTTP2(true)
+		listeners = append(listeners, server)
+		members = append(members, replica.Member{ID: uint64(i + 1), URL: "http://" + server.Listener.Addr().String()})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	var hosts []*logHost
+	for i, server := range listeners {
+		folder := t.TempDir()
+		h := &logHost{folder: folder, ReplicaSupervisor: NewReplicaSupervisor(replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: folder, SelfURL: members[i].URL,
+			InitialMembers: members, Bootstrap: true, MinVoters: count, HTTPClient: rpc.Client(nil), Logger: discardLogger})}
+		hosts = append(hosts, h)
+		server.Config.Handler = h.Handler("/")
+		server.Start()
+		group.Go(func() { _ = h.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		for _, server := range listeners {
+			server.CloseClientConnections()
+			server.Close()
+		}
+	})
+	return hosts
+}
+
+// propose stores a command through a host.
+func (h *logHost) propose(g *WithT, command []byte) {
+	g.EventuallyWithOffset(1, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := h.Propose(ctx, command)
+		return err
+	}, reopenTimeout, "20ms").Should(Succeed())
+}
+
+// fillDisk makes every write to the open journal fail as on a full disk, until the data folder is
+// opened again.
+func (h *logHost) fillDisk(g *WithT) {
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer full.Close()
+	descriptors, err := os.ReadDir("/proc/self/fd")
+	g.Expect(err).NotTo(HaveOccurred())
+	found := false
+	for _, d := range descriptors {
+		if target, _ := os.Readlink("/proc/self/fd/" + d.Name()); target != filepath.Join(h.folder, journal.FileName) {
+			continue
+		}
+		number, err := strconv.Atoi(d.Name())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(syscall.Dup3(int(full.Fd()), number, syscall.O_CLOEXEC)).To(Succeed())
+		found = true
+	}
+	g.Expect(found).To(BeTrue(), "the journal is open")
+}
+
+// snapshotOf returns the state of a host, nil while it has none.
+func (h *logHost) snapshotOf() []byte {
+	machine := h.State().Machine
+	if machine == nil {
+		return nil
+	}
+	snapshot, err := machine.Snapshot()
+	if err != nil {
+		return nil
+	}
+	return snapshot
+}
+
+// expectEqualCopies waits until all hosts have applied the same entries and compares their state.
+func expectEqualCopies(g *WithT, hosts []*logHost) {
+	g.EventuallyWithOffset(1, func() error {
+		for _, h := range hosts {
+			if status := h.Status(); status.AppliedIndex == 0 || status.AppliedIndex != status.CommitIndex || status.CommitIndex != hosts[0].Status().CommitIndex {
+				return fmt.Errorf("host %d has applied %d of %d", status.ID, status.AppliedIndex, status.CommitIndex)
+			}
+		}
+		return nil
+	}, reopenTimeout, "5ms").Should(Succeed())
+	want := hosts[0].snapshotOf()
+	g.ExpectWithOffset(1, want).NotTo(BeEmpty())
+	for _, h := range hosts[1:] {
+		g.ExpectWithOffset(1, h.snapshotOf()).To(Equal(want), "host %d", h.Status().ID)
+	}
+}
+
+// Guards against a host whose disk was full and which applies its log once more on top of the state
+// that it has built from it: its record of duties then differs for good.
+func TestLogIsAppliedOnceAfterAFullDisk(t *testing.T) {
+	for _, filled := range []string{"leader", "follower"} {
+		t.Run(filled, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			hosts := startLogHosts(t, 3)
+			hosts[0].propose(g, document.EncodeCommand(3, []byte("three")))
+			hosts[0].propose(g, document.EncodeQuarantineCommand(document.Quarantine, 7))
+			hosts[0].propose(g, document.EncodeQuarantineCommand(document.Release, 7))
+			hosts[0].propose(g, document.EncodeServedCommand(origin.Change{Origin: origin.Origin{Service: "s", Version: "1"}, Presence: origin.Serving}))
+			hosts[0].propose(g, document.EncodeDutyCommand(duty.EncodeAcquire(1, "a", 11, 1, duty.Holding{})))
+			hosts[0].propose(g, document.EncodeDutyCommand(duty.EncodeRenew(duty.Holdership{Token: 1, Life: 11, Stamp: 2})))
+			expectEqualCopies(g, hosts)
+
+			var reopened, other *logHost
+			g.Eventually(func() bool {
+				for i, h := range hosts {
+					if status := h.Status(); status.IsVoter && status.LeaderID != 0 && (status.LeaderID == status.ID) == (filled == "leader") {
+						reopened, other = h, hosts[(i+1)%len(hosts)]
+					}
+				}
+				return reopened != nil
+			}, reopenTimeout).Should(BeTrue())
+			before := reopened.State().Machine
+			reopened.fillDisk(g)
+			other.propose(g, document.EncodeCommand(4, []byte("four")))
+			g.Eventually(func() bool { now := reopened.State().Machine; return now != nil && now != before }, reopenTimeout, "5ms").Should(BeTrue(), "the data folder is opened again")
+			record, _ := other.State().Machine.Duties()
+			other.propose(g, document.EncodeDutyCommand(duty.EncodeAcquire(2, "b", 12, 1, record.Holding)))
+			expectEqualCopies(g, hosts)
+			record, _ = reopened.State().Machine.Duties()
+			g.Expect(record.Holding.Host).To(Equal(uint64(2)), "there is one holder")
+		})
+	}
+}
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
@@ -28,22 +29,27 @@
 )
 
 // ReplicaSupervisor runs a replica and reopens it after its disk failed, while the
-// process goes on with the work that needs no disk. It is a ReplicatedLog.
+// process goes on with the work that needs no disk. Each opening has a state machine of its own. A
+// ReplicaSupervisor is a ReplicatedLog and its StateSource.
 type ReplicaSupervisor struct {
 	options     replica.Options
 	logger      *slog.Logger
-	current     atomic.Pointer[runningReplica]   // nil while the data folder is not open
+	current     atomic.Pointer[opening]
 	joinMembers atomic.Pointer[[]replica.Member] // hosts to request admission from
 }
 
-// runningReplica is an open replica with its handler.
-type runningReplica struct {
+// opening is an open replica with its handler and state machine, or none of them while the data
+// folder is not open.
+type opening struct {
 	*replica.Replica
-	path    string
-	handler http.Handler
+	handler  http.Handler
+	machine  *document.StateMachine
+	upToDate bool          // see StateView
+	replaced chan struct{} // closed once another opening takes its place
 }
 
-// NewReplicaSupervisor returns a supervisor for a replica with the options. A host that
+// NewReplicaSupervisor returns a supervisor for a replica with the options, but for
+// NewStateMachine, which it sets. A host that
 // is not among the initial members requests admission from them. Each read is confirmed
 // by a quorum, so no leader lease is used.
 func NewReplicaSupervisor(o replica.Options) *ReplicaSupervisor {
@@ -51,6 +57,7 @@
 	o.HeartbeatInterval, o.ElectionTimeout, o.StepTimeout = heartbeatInterval, electionTimeout, stepTimeout
 	s := &ReplicaSupervisor{options: o, logger: o.Logger}
 	s.joinMembers.Store(&o.InitialMembers)
+	s.current.Store(&opening{replaced: make(chan struct{})})
 	return s
 }
 
@@ -82,22 +89,59 @@
 
 // runOnce opens the replica and runs it until it fails.
 func (s *ReplicaSupervisor) runOnce(ctx context.Context) error {
-	options := s.options
+	options, machine := s.options, document.New()
 	options.InitialMembers = *s.joinMembers.Load()
+	options.NewStateMachine = func() replica.StateMachine { return machine }
 	r, err := replica.Open(options)
 	if err != nil {
 		return err
 	}
-	path, handler := r.Handler()
-	s.current.Store(&runningReplica{Replica: r, path: path, handler: handler})
-	defer s.current.Store(nil)
+	_, handler := r.Handler()
+	o := s.replace(s.current.Load(), opening{Replica: r, handler: handler, machine: machine})
+	ctx, cancel := context.WithCancel(ctx)
+	confirmed := make(chan struct{})
+	go func() { defer close(confirmed); s.confirm(ctx, o) }()
+	defer func() {
+		cancel()
+		<-confirmed
+		s.replace(s.current.Load(), opening{})
+	}()
 	return r.Run(ctx)
 }
 
+// confirm marks an opening as up to date once its read barrier has succeeded.
+func (s *ReplicaSupervisor) confirm(ctx context.Context, o *opening) {
+	if retryBarrier(ctx, o.ReadBarrier) {
+		s.replace(o, opening{Replica: o.Replica, handler: o.handler, machine: o.machine, upToDate: true})
+	}
+}
+
+// replace publishes the opening that takes the place of another one.
+func (s *ReplicaSupervisor) replace(old *opening, o opening) *opening {
+	o.replaced = make(chan struct{})
+	s.current.Store(&o)
+	close(old.replaced)
+	return &o
+}
+
+// running returns the present opening, nil while the data folder is not open.
+func (s *ReplicaSupervisor) running() *opening {
+	if o := s.current.Load(); o.Replica != nil {
+		return o
+	}
+	return nil
+}
+
+// State returns the state machine of the present opening.
+func (s *ReplicaSupervisor) State() StateView {
+	o := s.current.Load()
+	return StateView{Machine: o.machine, UpToDate: o.upToDate, Replaced: o.replaced}
+}
+
 // Handler serves the requests of the other hosts on every path; the argument is ignored.
 func (s *ReplicaSupervisor) Handler(path string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if running := s.current.Load(); running != nil {
+		if running := s.running(); running != nil {
 			running.handler.ServeHTTP(w, r)
 			return
 		}
@@ -109,7 +153,7 @@
 // reopened later.
 func (s *ReplicaSupervisor) SetJoinMembers(ctx context.Context, members []replica.Member) error {
 	s.joinMembers.Store(&members)
-	if running := s.current.Load(); running != nil {
+	if running := s.running(); running != nil {
 		return running.SetJoinMembers(ctx, members)
 	}
 	return nil
@@ -117,7 +161,7 @@
 
 // Propose appends a command; see replica.Replica.Propose.
 func (s *ReplicaSupervisor) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	if running := s.current.Load(); running != nil {
+	if running := s.running(); running != nil {
 		return running.Propose(ctx, command)
 	}
 	return nil, &DataFolderClosedError{}
@@ -126,7 +170,7 @@
 // ReadBarrier waits until this host has applied everything that was acknowledged before
 // the call; see replica.Replica.ReadBarrier.
 func (s *ReplicaSupervisor) ReadBarrier(ctx context.Context) error {
-	if running := s.current.Load(); running != nil {
+	if running := s.running(); running != nil {
 		return running.ReadBarrier(ctx)
 	}
 	return &DataFolderClosedError{}
@@ -134,7 +178,7 @@
 
 // Status returns the status of the replica, or why there is none.
 func (s *ReplicaSupervisor) Status() replica.Status {
-	if running := s.current.Load(); running != nil {
+	if running := s.running(); running != nil {
 		return running.Status()
 	}
 	return replica.Status{ID: s.options.ID, UnavailableReason: (&DataFolderClosedError{}).Error()}
@@ -142,7 +186,7 @@
 
 // TransferLeadership hands leadership to another host before a planned stop.
 func (s *ReplicaSupervisor) TransferLeadership(ctx context.Context) error {
-	if running := s.current.Load(); running != nil {
+	if running := s.running(); running != nil {
 		return running.TransferLeadership(ctx)
 	}
 	return nil
--- a/internal/fleet/served_versions.go
+++ b/internal/fleet/served_versions.go
@@ -22,7 +22,11 @@
 func (s *Server) keepServedVersions(ctx context.Context) {
 	keeper := origin.NewKeeper()
 	wait.Every(ctx, servedVersionsInterval, func() {
-		record, _ := s.stateMachine.Served()
+		view := s.state.State()
+		if !view.UpToDate {
+			return
+		}
+		record, _ := view.Machine.Served()
 		for _, change := range keeper.Decide(time.Now(), s.servingVersions(), &record) {
 			if !s.storeServedVersion(ctx, change) {
 				return
@@ -59,7 +63,7 @@
 
 // servedUpdate returns the recorded versions, nil if a watch has been sent them.
 func (s *Server) servedUpdate(w *watchState) *pb.ServedVersions {
-	record, _ := s.stateMachine.Served()
+	record, _ := w.machine.Served()
 	versions := record.Versions()
 	if w.servedSent && slices.Equal(versions, w.served) {
 		return nil
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -62,7 +62,7 @@
 // Server serves entries on a control host. It is safe for concurrent use.
 type Server struct {
 	log           ReplicatedLog
-	stateMachine  *document.StateMachine
+	state         StateSource
 	minVoters     int
 	failureDomain string
 	selfURL       string
@@ -82,13 +82,14 @@
 	shares      *shareKeeper
 	usage       *usageKeeper // nil if usage is not counted
 
-	storingQuarantine atomic.Bool // one at a time
+	storingQuarantine atomic.Bool   // one at a time
+	announcedVersion  atomic.Uint64 // the highest version of a document that a watch was told
 }
 
 // ServerOptions configures a Server.
 type ServerOptions struct {
 	Log           ReplicatedLog
-	StateMachine  *document.StateMachine
+	State         StateSource  // of the log
 	FailureDomain string       // failure domain of the host
 	SelfURL       string       // URL under which the other control hosts know this one
 	MinVoters     int          // needed for the first document, until maxFormationWait is over
@@ -101,7 +102,7 @@
 
 // NewServer returns a server without endpoints; Run must be called once.
 func NewServer(o ServerOptions) *Server {
-	return &Server{log: o.Log, stateMachine: o.StateMachine, minVoters: o.MinVoters, failureDomain: o.FailureDomain, selfURL: o.SelfURL, httpClient: o.HTTPClient, logger: o.Logger, startedAt: time.Now(),
+	return &Server{log: o.Log, state: o.State, minVoters: o.MinVoters, failureDomain: o.FailureDomain, selfURL: o.SelfURL, httpClient: o.HTTPClient, logger: o.Logger, startedAt: time.Now(),
 		stopped:   make(chan struct{}),
 		directory: directory.New(), changed: make(chan struct{}), watchCounts: map[string]int{}, loads: newLoadTable(), quarantine: newQuarantineKeeper(), throttle: throttle.New(), streams: newStreamStarts(), shares: newShareKeeper(), usage: newUsageKeeper(o.UsageWindow, o.UsageRetention)}
 }
@@ -112,7 +113,7 @@
 }
 
 // PutDocument stores a validated document if its version is the highest, and returns once
-// that is durable on a quorum. Errors are *ClusterFormingError or those of the log.
+// that is durable on a quorum. Errors are *DataFolderClosedError, *ClusterFormingError or those of the log.
 func (s *Server) PutDocument(ctx context.Context, version uint64, content []byte) error {
 	if err := s.checkFormed(); err != nil {
 		return err
@@ -128,7 +129,11 @@
 // checkFormed refuses the first document while the cluster has too few voters to lose
 // a host safely.
 func (s *Server) checkFormed() error {
-	if version, _, _ := s.stateMachine.Current(); version > 0 || time.Since(s.startedAt) > maxFormationWait {
+	machine := s.state.State().Machine
+	if machine == nil {
+		return &DataFolderClosedError{}
+	}
+	if version, _, _ := machine.Current(); version > 0 || time.Since(s.startedAt) > maxFormationWait {
 		return nil
 	}
 	voters := 0
@@ -144,12 +149,14 @@
 }
 
 // GetDocument returns the newest document, confirmed by a quorum after the call began.
-// Version 0 means that there is none. Errors are those of the log or of decompression.
+// Version 0 means that there is none. Errors are *DataFolderClosedError, *StateReplacedError or those of
+// the log or of decompression.
 func (s *Server) GetDocument(ctx context.Context) (version uint64, content []byte, err error) {
-	if err := s.log.ReadBarrier(ctx); err != nil {
+	machine := s.state.State().Machine
+	if err := readBarrier(ctx, s.log, s.state, machine); err != nil {
 		return 0, nil, err
 	}
-	version, compressed, _ := s.stateMachine.Current()
+	version, compressed, _ := machine.Current()
 	content, err = document.Decompress(compressed)
 	return version, content, err
 }
@@ -221,7 +228,11 @@
 
 // watchState records what has been sent to one watch.
 type watchState struct {
-	confirmed         bool
+	machine           *document.StateMachine // that the watch reads
+	confirmed         bool                   // machine is up to date, as of the watch's own read barrier
+	awaitConfirmed    chan struct{}          // closed once machine is up to date
+	stopAwaiting      context.CancelFunc
+	version           uint64 // of the document, the highest that was sent
 	directoryRevision uint64
 	entryCount        int
 	memberCount       int
@@ -235,18 +246,21 @@
 func (s *Server) Watch(ctx context.Context, req *connect.Request[pb.WatchFleetRequest], stream *connect.ServerStream[pb.FleetEvent]) error {
 	s.addWatches(req.Msg.Entry, 1)
 	defer s.addWatches(req.Msg.Entry, -1)
-	w := &watchState{}
-	confirmed := make(chan struct{})
-	go s.awaitReadBarrier(ctx, confirmed)
+	w := &watchState{stopAwaiting: func() {}}
 	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
 	for {
-		_, _, documentChanged := s.stateMachine.Current()
+		view := s.state.State()
+		s.readFrom(ctx, w, view.Machine)
+		var documentChanged <-chan struct{}
+		if w.machine != nil {
+			_, _, documentChanged = w.machine.Current()
+		}
 		event, changed := s.nextEvent(w)
 		if err := stream.Send(event); err != nil {
 			return err
 		}
-		pendingConfirm := confirmed
+		pendingConfirm := w.awaitConfirmed
 		if w.confirmed {
 			pendingConfirm = nil
 		}
@@ -258,6 +272,7 @@
 		case <-ticker.C:
 		case <-changed:
 			time.Sleep(eventBatchDelay)
+		case <-view.Replaced:
 		case <-documentChanged:
 		case <-pendingConfirm:
 			w.confirmed = true
@@ -265,6 +280,27 @@
 	}
 }
 
+// readFrom makes a watch read a state machine, nil while there is none. One of another opening of the
+// data folder must be confirmed anew.
+func (s *Server) readFrom(ctx context.Context, w *watchState, machine *document.StateMachine) {
+	if w.machine == machine {
+		return
+	}
+	w.stopAwaiting()
+	w.machine, w.confirmed, w.awaitConfirmed, w.stopAwaiting = machine, false, nil, func() {}
+	if machine == nil {
+		return
+	}
+	confirmed := make(chan struct{})
+	ctx, w.stopAwaiting = context.WithCancel(ctx)
+	go func() {
+		if retryBarrier(ctx, func(ctx context.Context) error { return readBarrier(ctx, s.log, s.state, machine) }) {
+			close(confirmed)
+		}
+	}()
+	w.awaitConfirmed = confirmed
+}
+
 // addWatches adjusts the number of open watches of an entry.
 func (s *Server) addWatches(entry string, delta int) {
 	s.mu.Lock()
@@ -275,38 +311,24 @@
 	s.notifyWatchers()
 }
 
-// awaitReadBarrier closes done once this host has applied everything that was acknowledged
-// before. It retries until then, or until ctx ends.
-func (s *Server) awaitReadBarrier(ctx context.Context, done chan struct{}) {
-	for ctx.Err() == nil {
-		tryCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
-		err := s.log.ReadBarrier(tryCtx)
-		cancel()
-		if err == nil {
-			close(done)
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(keepAliveInterval):
-		}
-	}
-}
-
 // nextEvent returns what a watch has not been sent yet, and a channel that is closed at
-// the next change. It includes the version of the document only once that is confirmed.
+// the next change. It includes the version of the document only once that is confirmed, and never a
+// lower one than before.
 func (s *Server) nextEvent(w *watchState) (*pb.FleetEvent, <-chan struct{}) {
 	out := &pb.FleetEvent{Confirmed: w.confirmed, FailureDomain: s.failureDomain}
 	if w.confirmed {
-		out.Version, _, _ = s.stateMachine.Current()
+		version, _, _ := w.machine.Current()
+		w.version = max(w.version, version)
+		s.announce(w.version)
 	}
+	out.Version = w.version
 	if members := s.log.Status().Members; len(members) != w.memberCount {
 		w.memberCount = len(members)
 		for _, m := range members {
 			out.ControlUrls = append(out.ControlUrls, m.URL)
 		}
 	}
-	stored, _ := s.stateMachine.Quarantined()
+	stored := s.storedQuarantine()
 	if w.confirmed {
 		out.Served = s.servedUpdate(w)
 	}
@@ -329,8 +351,24 @@
 	return out, s.changed
 }
 
-// Document returns the newest document that this host has applied.
+// announce records a version of the document that a watch is told.
+func (s *Server) announce(version uint64) {
+	for known := s.announcedVersion.Load(); known < version; known = s.announcedVersion.Load() {
+		if s.announcedVersion.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
+// Document returns the newest document that this host has applied, unless it told watches of a newer one.
 func (s *Server) Document(context.Context, *connect.Request[pb.DocumentRequest]) (*connect.Response[pb.DocumentResponse], error) {
-	version, content, _ := s.stateMachine.Current()
+	machine := s.state.State().Machine
+	if machine == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, &DataFolderClosedError{})
+	}
+	version, content, _ := machine.Current()
+	if announced := s.announcedVersion.Load(); version < announced {
+		return nil, connect.NewError(connect.CodeUnavailable, &StateOutdatedError{Version: version, RequiredVersion: announced})
+	}
 	return connect.NewResponse(&pb.DocumentResponse{Version: version, Content: content}), nil
 }
--- a/internal/fleet/usage_test.go
+++ b/internal/fleet/usage_test.go
@@ -35,7 +35,7 @@
 	machine := document.New()
 	log := &singleHostLog{MemoryLog: replica.NewMemoryLog(machine)}
 	log.members.Store(&[]replica.Member{{ID: 1, IsVoter: true}})
-	return startControlHostWith(t, log, ServerOptions{Log: log, StateMachine: machine, FailureDomain: "a", MinVoters: 1, HTTPClient: http.DefaultClient, Logger: discardLogger, UsageWindow: usageWindow, UsageRetention: 2 * usageWindow})
+	return startControlHostWith(t, log, ServerOptions{Log: log, State: fixedState{machine}, FailureDomain: "a", MinVoters: 1, HTTPClient: http.DefaultClient, Logger: discardLogger, UsageWindow: usageWindow, UsageRetention: 2 * usageWindow})
 }
 
 // standStill stops the clocks of a host in usageTestWindow.
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -56,7 +56,7 @@
 	if s.Index <= r.appliedIndex.Load() {
 		return nil
 	}
-	if err := r.options.StateMachine.Restore(s.Data); err != nil {
+	if err := r.machine.Restore(s.Data); err != nil {
 		return errors.Wrap(err, "restore the state machine")
 	}
 	r.appliedIndex.Store(s.Index)
@@ -72,7 +72,7 @@
 	for _, e := range entries {
 		var result []byte
 		if e.Kind == consensus.EntryCommand {
-			result = r.options.StateMachine.Apply(e.Index, e.Data)
+			result = r.machine.Apply(e.Index, e.Data)
 			bytes += len(e.Data)
 		}
 		r.appliedIndex.Store(e.Index)
@@ -83,7 +83,7 @@
 
 // takeSnapshot queues a snapshot of the state for the journal.
 func (r *Replica) takeSnapshot() error {
-	data, err := r.options.StateMachine.Snapshot()
+	data, err := r.machine.Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "snapshot the state machine")
 	}
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -57,7 +57,7 @@
 	gomega.RegisterTestingT(b)
 	dir := tempDataDir(b)
 	c := newCluster(b, 3, func(o *Options) {
-		o.StateMachine = &countingMachine{}
+		o.NewStateMachine = func() StateMachine { return &countingMachine{} }
 		o.DataDir = filepath.Join(dir, fmt.Sprint(o.ID))
 	})
 	c.waitForVoters(3)
@@ -109,7 +109,7 @@
 			gomega.RegisterTestingT(b)
 			dir := tempDataDir(b)
 			c := newCluster(b, 1, func(o *Options) {
-				o.StateMachine = &keyValueMachine{rows: map[string]string{}}
+				o.NewStateMachine = func() StateMachine { return &keyValueMachine{rows: map[string]string{}} }
 				o.SnapshotIntervalEntries = snapshotInterval
 				o.DataDir = dir
 			})
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -60,10 +60,13 @@
 	AdmitUnknownHosts bool
 	// MinVoters is the smallest intended number of voters; see
 	// consensus.Config.
-	MinVoters    int
-	StateMachine StateMachine
-	HTTPClient   *http.Client // nil for the default client
-	Logger       *slog.Logger
+	MinVoters int
+	// NewStateMachine returns a state machine in the state before the first command. Each opening
+	// of the data folder has its own: it applies the log from the stored snapshot on, so one that
+	// an earlier opening has used would apply commands twice.
+	NewStateMachine func() StateMachine
+	HTTPClient      *http.Client // nil for the default client
+	Logger          *slog.Logger
 
 	HeartbeatInterval       time.Duration // 0 for the default
 	ElectionTimeout         time.Duration // 0 for the default
@@ -107,8 +110,8 @@
 		return &OptionsError{Field: "ID", Reason: "must not be 0"}
 	case o.DataDir == "" && !o.Ephemeral:
 		return &OptionsError{Field: "DataDir", Reason: "must name the data folder"}
-	case o.StateMachine == nil:
-		return &OptionsError{Field: "StateMachine", Reason: "is missing"}
+	case o.NewStateMachine == nil:
+		return &OptionsError{Field: "NewStateMachine", Reason: "is missing"}
 	case o.Bootstrap && self < 0:
 		return &OptionsError{Field: "InitialMembers", Reason: "must list this host to form a cluster"}
 	}
@@ -120,6 +123,7 @@
 	options    Options
 	logger     *slog.Logger
 	journal    store
+	machine    StateMachine    // of this opening alone
 	node       *consensus.Node // used by the node loop alone once Run is called
 	clockStart time.Time       // time 0 of the node's clock
 	stopped    chan struct{}   // closed when Run has returned
@@ -173,7 +177,7 @@
 	return memoryJournal, consensus.PersistedState{}, err
 }
 
-// Open opens the data folder and restores the state machine from the newest
+// Open opens the data folder and restores a new state machine from the newest
 // snapshot. Errors are *OptionsError or those of package journal.
 func Open(options Options) (*Replica, error) {
 	o := options.withDefaults()
@@ -196,8 +200,9 @@
 
 // newReplica creates the replica on an open journal.
 func newReplica(o Options, j store, stored consensus.PersistedState) (*Replica, error) {
+	machine := o.NewStateMachine()
 	if stored.Snapshot.Index > 0 {
-		if err := o.StateMachine.Restore(stored.Snapshot.Data); err != nil {
+		if err := machine.Restore(stored.Snapshot.Data); err != nil {
 			return nil, errors.Wrap(err, "restore the state machine")
 		}
 	}
@@ -213,7 +218,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{options: o, logger: o.Logger, journal: j, node: node, clockStart: time.Now(),
+	r := &Replica{options: o, logger: o.Logger, journal: j, machine: machine, node: node, clockStart: time.Now(),
 		stopped:          make(chan struct{}),
 		messages:         ring.New[[]consensus.Message]("messages", messageQueueCapacity),
 		proposals:        ring.New[*proposal]("proposals", proposalQueueCapacity),
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -130,7 +130,7 @@
 	It("refuses calls from a host of another cluster", func() {
 		c := newCluster(GinkgoTB(), 1, nil)
 		c.proposeUntilApplied(1, "a")
-		other, err := Open(Options{ID: 2, ClusterName: "other", DataDir: GinkgoT().TempDir(), StateMachine: &listMachine{},
+		other, err := Open(Options{ID: 2, ClusterName: "other", DataDir: GinkgoT().TempDir(), NewStateMachine: func() StateMachine { return &listMachine{} },
 			HTTPClient: rpc.Client(nil)})
 		Expect(err).NotTo(HaveOccurred())
 		ctx := context.Background()
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -153,7 +153,7 @@
 	h.machine = &listMachine{}
 	client := rpc.Client(nil)
 	options := Options{ID: id, ClusterName: "test", DataDir: h.dir, SelfURL: h.url, InitialMembers: c.members,
-		Bootstrap: bootstrap, StateMachine: h.machine, HTTPClient: client}
+		Bootstrap: bootstrap, NewStateMachine: func() StateMachine { return h.machine }, HTTPClient: client}
 	if c.adjustOptions != nil {
 		c.adjustOptions(&options)
 	}
