Store no quarantine of a state that was given up meanwhile

A reader of the stored quarantines that is delayed between its look at the state and the server's lock could store those of a state that another one has replaced, until the next reader. It now looks at the state again under the lock. Found by reading, seen in no run. Besides: a test that no version that serves is recorded while the state is being built, and a closed data folder has no state.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -296,6 +296,7 @@
 	g.Expect(errors.As(err, &closedError)).To(BeTrue())
 	g.Expect(errors.As(supervisor.ReadBarrier(ctx), &closedError)).To(BeTrue())
 	g.Expect(supervisor.Status().UnavailableReason).NotTo(BeEmpty())
+	g.Expect(supervisor.State().Machine).To(BeNil())
 	w := httptest.NewRecorder()
 	supervisor.Handler("/").ServeHTTP(w, httptest.NewRequest("POST", "/", nil))
 	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -180,12 +180,16 @@
 // its time must start again from a state in which it is missing.
 func (s *Server) storedQuarantine() []document.QuarantinedPart {
 	view := s.state.State()
+	var stored []document.QuarantinedPart
+	if view.Machine != nil {
+		stored, _ = view.Machine.Quarantined()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.quarantine
-	if view.Machine != nil && (view.UpToDate || !k.known) {
-		k.stored, _ = view.Machine.Quarantined()
-		k.known = view.UpToDate
+	isCurrent := s.state.State().Machine == view.Machine
+	if view.Machine != nil && isCurrent && (view.UpToDate || !k.known) {
+		k.stored, k.known = stored, view.UpToDate
 	}
 	return k.stored
 }
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -48,10 +48,9 @@
 	replaced chan struct{} // closed once another opening takes its place
 }
 
-// NewReplicaSupervisor returns a supervisor for a replica with the options, but for
-// NewStateMachine, which it sets. A host that
-// is not among the initial members requests admission from them. Each read is confirmed
-// by a quorum, so no leader lease is used.
+// NewReplicaSupervisor returns a supervisor for a replica with the options; it sets
+// NewStateMachine itself. A host that is not among the initial members requests admission
+// from them. Each read is confirmed by a quorum, so no leader lease is used.
 func NewReplicaSupervisor(o replica.Options) *ReplicaSupervisor {
 	o.AdmitUnknownHosts, o.DisableLease = true, true
 	o.HeartbeatInterval, o.ElectionTimeout, o.StepTimeout = heartbeatInterval, electionTimeout, stepTimeout
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -15,8 +15,10 @@
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
+	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 )
 
@@ -166,6 +168,21 @@
 	g.Expect(host.storedQuarantine()).To(BeEmpty(), "the log has lifted it")
 }
 
+// Guards against changes of the versions that serve that are decided by a state still being built.
+func TestVersionsAreRecordedOnceTheStateIsUpToDate(t *testing.T) {
+	g := NewWithT(t)
+	host, state := newReplaceableHost(t, g)
+	machine := state.State().Machine
+	recorded := func() []origin.Origin { record, _ := machine.Served(); return record.Versions() }
+	state.replace(machine, false)
+	serving := endpoint("x", 1, directory.Ready)
+	serving.Version = "1"
+	host.UpdateEndpoint(serving)
+	g.Consistently(recorded, 4*servedVersionsInterval).Should(BeEmpty())
+	state.replace(machine, true)
+	g.Eventually(recorded, "5s").Should(Equal([]origin.Origin{{Service: "s", Version: "1"}}))
+}
+
 func gaugeValue(g *WithT, r *metrics.Registry, name string) float64 {
 	var written bytes.Buffer
 	r.WriteJSON(&written)
