Replace a confirmed state at once in the test of versions

The test closed the data folder before it put another state in place. A watch that keeps its confirmation over a direct replacement passed; with the added step the test fails for it.

--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -80,7 +80,7 @@
 	g := NewWithT(t)
 	host, state := newReplaceableHost(t, g)
 	client := trefoilkeelv1connect.NewFleetServiceClient(http.DefaultClient, host.http.URL)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), reopenTimeout)
 	defer cancel()
 	stream, err := client.Watch(ctx, connect.NewRequest(&pb.WatchFleetRequest{Entry: "e1"}))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -136,6 +136,10 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(version).To(Equal(uint64(4)))
 	g.Expect(string(content)).To(Equal("four"))
+
+	host.log.quorumLost.Store(true)
+	state.replace(document.New(), false)
+	await("another state at once", isUnconfirmed)
 }
 
 // Guards against a read whose barrier was that of one opening of the data folder, and whose state that of another.
