Acknowledge a departure once a majority of the control hosts holds it

Callers' requests reached an endpoint up to 9.9 s after a control host had acknowledged its deregistration (bound 2 s): the host was killed, its entry started again, and learned the endpoint from the other control hosts as ready.

Cause: RemoveEndpoint kept the departure in the memory of the one host that was asked, and only entries that watched it at that moment heard of it. The first report that an endpoint drains was kept in the same way, until it was repeated.

A departure, and the first report that an endpoint drains, is now passed on to the other control hosts, batched for each of them, and acknowledged once a majority of the log's voters holds it, or refused with 503 after 0.8 s. A host that starts fetches what the others hold before it confirms a configuration to entries; one that was cut off fetches it within a second or so. Hosts of a build that doesn't know the call are not counted. Tombstones expire as before. The fix works since every host that reaches a majority has heard of the departure, from the acknowledging host or from one that holds it, and entries merge what all hosts say. docs/decisions/072 has the ways weighed.

Failed before: platform TestEntryThatStartsSendsNothingToDepartedEndpoints (26 of 60 requests at the departed endpoint, after a deregistration and after draining; 0 now) and TestDepartureIsRefusedWithoutAMajority (200); fleet TestDepartureOutlivesTheHostThatAcknowledgedIt, ...OutlivesRestartsInTurn, ...OutlivesTwoOfFiveHosts, ...IsNotAcknowledgedByAHostThatIsCutOff, TestHostThatWasCutOffLearnsDepartures and TestHostThatStartsConfirmsNothingBeforeItHasTheDepartures. The tests of the loss of all hosts and of new incarnations at the same ID or address passed before too.

The clusters of the tests count all their control hosts as voters, as a cluster does; until now each counted itself alone.

--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/fleet.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/fleet.connect.go
@@ -41,6 +41,11 @@
 	FleetServiceShareProcedure = "/trefoilkeel.v1.FleetService/Share"
 	// FleetServiceFindStreamProcedure is the fully-qualified name of the FleetService's FindStream RPC.
 	FleetServiceFindStreamProcedure = "/trefoilkeel.v1.FleetService/FindStream"
+	// FleetServicePassDeparturesProcedure is the fully-qualified name of the FleetService's
+	// PassDepartures RPC.
+	FleetServicePassDeparturesProcedure = "/trefoilkeel.v1.FleetService/PassDepartures"
+	// FleetServiceDeparturesProcedure is the fully-qualified name of the FleetService's Departures RPC.
+	FleetServiceDeparturesProcedure = "/trefoilkeel.v1.FleetService/Departures"
 )
 
 // FleetServiceClient is a client for the trefoilkeel.v1.FleetService service.
@@ -58,6 +63,12 @@
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 	// FindStream returns where a stream began that a caller takes up at another entry.
 	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
+	// PassDepartures tells another control host of endpoints that leave, before that is acknowledged
+	// to them.
+	PassDepartures(context.Context, *connect.Request[v1.PassDeparturesRequest]) (*connect.Response[v1.PassDeparturesResponse], error)
+	// Departures returns the endpoints that leave or have left, for a control host that has started
+	// or was cut off.
+	Departures(context.Context, *connect.Request[v1.DeparturesRequest]) (*connect.Response[v1.DeparturesResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the trefoilkeel.v1.FleetService service. By
@@ -95,15 +106,29 @@
 			connect.WithSchema(fleetServiceMethods.ByName("FindStream")),
 			connect.WithClientOptions(opts...),
 		),
+		passDepartures: connect.NewClient[v1.PassDeparturesRequest, v1.PassDeparturesResponse](
+			httpClient,
+			baseURL+FleetServicePassDeparturesProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("PassDepartures")),
+			connect.WithClientOptions(opts...),
+		),
+		departures: connect.NewClient[v1.DeparturesRequest, v1.DeparturesResponse](
+			httpClient,
+			baseURL+FleetServiceDeparturesProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Departures")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	watch      *connect.Client[v1.WatchFleetRequest, v1.FleetEvent]
-	document   *connect.Client[v1.DocumentRequest, v1.DocumentResponse]
-	share      *connect.Client[v1.ShareRequest, v1.ShareResponse]
-	findStream *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
+	watch          *connect.Client[v1.WatchFleetRequest, v1.FleetEvent]
+	document       *connect.Client[v1.DocumentRequest, v1.DocumentResponse]
+	share          *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	findStream     *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
+	passDepartures *connect.Client[v1.PassDeparturesRequest, v1.PassDeparturesResponse]
+	departures     *connect.Client[v1.DeparturesRequest, v1.DeparturesResponse]
 }
 
 // Watch calls trefoilkeel.v1.FleetService.Watch.
@@ -126,6 +151,16 @@
 	return c.findStream.CallUnary(ctx, req)
 }
 
+// PassDepartures calls trefoilkeel.v1.FleetService.PassDepartures.
+func (c *fleetServiceClient) PassDepartures(ctx context.Context, req *connect.Request[v1.PassDeparturesRequest]) (*connect.Response[v1.PassDeparturesResponse], error) {
+	return c.passDepartures.CallUnary(ctx, req)
+}
+
+// Departures calls trefoilkeel.v1.FleetService.Departures.
+func (c *fleetServiceClient) Departures(ctx context.Context, req *connect.Request[v1.DeparturesRequest]) (*connect.Response[v1.DeparturesResponse], error) {
+	return c.departures.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the trefoilkeel.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Watch streams the current state of the control host, then every change, and a
@@ -141,6 +176,12 @@
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 	// FindStream returns where a stream began that a caller takes up at another entry.
 	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
+	// PassDepartures tells another control host of endpoints that leave, before that is acknowledged
+	// to them.
+	PassDepartures(context.Context, *connect.Request[v1.PassDeparturesRequest]) (*connect.Response[v1.PassDeparturesResponse], error)
+	// Departures returns the endpoints that leave or have left, for a control host that has started
+	// or was cut off.
+	Departures(context.Context, *connect.Request[v1.DeparturesRequest]) (*connect.Response[v1.DeparturesResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -174,6 +215,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("FindStream")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServicePassDeparturesHandler := connect.NewUnaryHandler(
+		FleetServicePassDeparturesProcedure,
+		svc.PassDepartures,
+		connect.WithSchema(fleetServiceMethods.ByName("PassDepartures")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceDeparturesHandler := connect.NewUnaryHandler(
+		FleetServiceDeparturesProcedure,
+		svc.Departures,
+		connect.WithSchema(fleetServiceMethods.ByName("Departures")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trefoilkeel.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceWatchProcedure:
@@ -184,6 +237,10 @@
 			fleetServiceShareHandler.ServeHTTP(w, r)
 		case FleetServiceFindStreamProcedure:
 			fleetServiceFindStreamHandler.ServeHTTP(w, r)
+		case FleetServicePassDeparturesProcedure:
+			fleetServicePassDeparturesHandler.ServeHTTP(w, r)
+		case FleetServiceDeparturesProcedure:
+			fleetServiceDeparturesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -208,3 +265,11 @@
 func (UnimplementedFleetServiceHandler) FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.FindStream is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) PassDepartures(context.Context, *connect.Request[v1.PassDeparturesRequest]) (*connect.Response[v1.PassDeparturesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.PassDepartures is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) Departures(context.Context, *connect.Request[v1.DeparturesRequest]) (*connect.Response[v1.DeparturesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.FleetService.Departures is not implemented"))
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -271,6 +271,42 @@
 	return d.MergeReport(departed)
 }
 
+// Holds reports whether merging a report would add nothing: the directory holds it or a
+// newer one.
+func (d *Directory) Holds(e Endpoint) bool {
+	old := d.byID[e.ID]
+	if old == nil {
+		owner := d.byID[d.addressOwners[e.Address]]
+		return e.State != Gone && owner != nil && owner.Address == e.Address && owner.StartedUnixMS > e.StartedUnixMS
+	}
+	e = resolveDeparture(e, old)
+	return !supersedes(&e, &old.Endpoint)
+}
+
+// Departures returns the endpoints that are draining or gone. Those that are due to be removed
+// are left out.
+func (d *Directory) Departures(now time.Time) []Endpoint {
+	var departures []Endpoint
+	for _, e := range d.byID {
+		if e.State >= Draining && now.Sub(e.LastReportAt) < RemovalTimeout {
+			departures = append(departures, e.Endpoint)
+		}
+	}
+	return departures
+}
+
+// DepartureDigest returns a hash of the incarnations and states of Departures. It does not
+// depend on their order, nor on the clock of the host beyond RemovalTimeout.
+func (d *Directory) DepartureDigest(now time.Time) uint64 {
+	var digest uint64
+	for _, e := range d.Departures(now) {
+		h := fnv.New64a()
+		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte{byte(e.State)}, e.IncarnationKey()))
+		digest ^= h.Sum64()
+	}
+	return digest
+}
+
 // Expire applies SilenceTimeout and RemovalTimeout. It reports whether any
 // endpoint became Silent.
 func (d *Directory) Expire(now time.Time) (changed bool) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -247,3 +247,67 @@
 	newest := "odd-" + strconv.Itoa(2*MaxEndpoints-100)
 	g.Expect(copied[newest]).To(BeTrue())
 }
+
+// Guards against a departure that counts as held by a directory that still takes the endpoint for
+// ready, in whatever order reports arrive.
+func TestHeldDepartureKeepsTheIncarnationAway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		draw := func(label string, states ...State) Endpoint {
+			return report(rapid.SampledFrom([]string{"x", "y"}).Draw(t, label+" id"), rapid.Int64Range(1, 3).Draw(t, label+" started"),
+				rapid.Uint64Range(1, 4).Draw(t, label+" sequence"), rapid.SampledFrom(states).Draw(t, label+" state"))
+		}
+		for range rapid.IntRange(0, 8).Draw(t, "reports") {
+			r := draw("report", Ready, Draining, Gone)
+			r.Address = "shared:1"
+			d.MergeReport(r)
+		}
+		departure := draw("departure", Gone)
+		d.MergeReport(departure)
+		if !d.Holds(departure) {
+			t.Fatalf("%+v is not held after it was merged", departure)
+		}
+		late := draw("late", Ready)
+		late.ID, late.StartedUnixMS = departure.ID, departure.StartedUnixMS
+		d.MergeReport(late)
+		if e, _ := d.Get(departure.ID); e.StartedUnixMS == departure.StartedUnixMS && e.State != Gone {
+			t.Fatalf("a late report made it %v", e.State)
+		}
+	})
+}
+
+// Guards against hosts that send each other departures that both hold, and against a difference that
+// they don't notice.
+func TestDepartureDigest(t *testing.T) {
+	g := NewWithT(t)
+	one, other := New(), New()
+	g.Expect(one.DepartureDigest(epoch)).To(BeZero())
+	one.MergeReport(report("x", 1, 5, Gone))
+	one.MergeReport(report("y", 1, 5, Draining))
+	one.MergeReport(report("z", 1, 5, Ready))
+	g.Expect(one.Departures(epoch)).To(HaveLen(2))
+	for _, e := range one.Departures(epoch) {
+		g.Expect(other.DepartureDigest(epoch)).NotTo(Equal(one.DepartureDigest(epoch)))
+		g.Expect(other.Holds(e)).To(BeFalse())
+		other.MergeReport(e)
+	}
+	g.Expect(other.DepartureDigest(epoch)).To(Equal(one.DepartureDigest(epoch)))
+	other.MergeReport(report("y", 1, 6, Gone))
+	g.Expect(other.DepartureDigest(epoch)).NotTo(Equal(one.DepartureDigest(epoch)), "another state")
+	late := epoch.Add(RemovalTimeout)
+	g.Expect(one.Departures(late)).To(BeEmpty(), "due to be removed")
+	g.Expect(one.DepartureDigest(late)).To(BeZero())
+}
+
+// An endpoint that drains at an address whose owner began later needs no record: it is gone.
+func TestDrainingAtATakenAddressIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	d := New()
+	owner, draining := report("young", 6, 1, Ready), report("old", 5, 9, Draining)
+	owner.Address = draining.Address
+	d.MergeReport(owner)
+	g.Expect(d.MergeReport(draining)).To(BeFalse())
+	g.Expect(d.Holds(draining)).To(BeTrue())
+	full := New()
+	g.Expect(full.Holds(draining)).To(BeFalse(), "not known")
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -190,7 +190,7 @@
 	_, _, err := host.GetDocument(context.Background())
 	g.Expect(err).To(HaveOccurred())
 	f, c := startFollower(t, "e1", host)
-	host.UpdateEndpoint(endpoint("x", 1, directory.Ready))
+	host.UpdateEndpoint(context.Background(), endpoint("x", 1, directory.Ready))
 	g.Eventually(c.state("x"), "3s").Should(Equal(directory.Ready))
 	g.Consistently(func() bool { versions, _ := c.document(); return len(versions) == 0 && !f.Status().Confirmed }, "300ms").Should(BeTrue())
 	host.log.quorumLost.Store(false)
@@ -219,16 +219,16 @@
 func TestEndpointStatesAreMergedAcrossControlHosts(t *testing.T) {
 	g := NewWithT(t)
 	one, two := newControlHost(t, "a"), newControlHost(t, "b")
-	one.UpdateEndpoint(endpoint("x", 1, directory.Ready))
+	one.UpdateEndpoint(context.Background(), endpoint("x", 1, directory.Ready))
 	_, c := startFollower(t, "e1", one, two)
 	g.Eventually(c.state("x"), "3s").Should(Equal(directory.Ready))
-	two.UpdateEndpoint(endpoint("x", 2, directory.Draining))
+	two.UpdateEndpoint(context.Background(), endpoint("x", 2, directory.Draining))
 	g.Eventually(c.state("x"), "500ms", "5ms").Should(Equal(directory.Draining))
-	one.UpdateEndpoint(endpoint("x", 1, directory.Ready)) // older than the drain
-	two.UpdateEndpoint(endpoint("y", 1, directory.Ready))
+	one.UpdateEndpoint(context.Background(), endpoint("x", 1, directory.Ready)) // older than the drain
+	two.UpdateEndpoint(context.Background(), endpoint("y", 1, directory.Ready))
 	g.Eventually(c.state("y"), "500ms").Should(Equal(directory.Ready))
 	g.Expect(c.state("x")()).To(Equal(directory.Draining))
-	one.RemoveEndpoint("x", 0, time.Now())
+	g.Expect(one.RemoveEndpoint(context.Background(), "x", 0, time.Now())).To(Succeed())
 	g.Eventually(c.state("x"), "500ms").Should(Equal(directory.Gone))
 	two.http.CloseClientConnections()
 	two.http.Listener.Close()
@@ -319,9 +319,9 @@
 	awaitLiveHosts(g, len(hosts), follower)
 	for i, h := range hosts {
 		id := fmt.Sprint("e", i)
-		h.UpdateEndpoint(endpoint(id, 1, directory.Ready))
+		h.UpdateEndpoint(context.Background(), endpoint(id, 1, directory.Ready))
 		g.Eventually(consumer.state(id), "3s", "10ms").Should(Equal(directory.Ready), "host %d", i)
-		h.UpdateEndpoint(endpoint(id, 2, directory.Draining))
+		h.UpdateEndpoint(context.Background(), endpoint(id, 2, directory.Draining))
 		g.Eventually(consumer.state(id), "3s", "10ms").Should(Equal(directory.Draining), "host %d", i)
 	}
 }
@@ -341,9 +341,9 @@
 	g.Eventually(func() int { return f.Status().LiveHostCount }, "3s").Should(Equal(1))
 	time.Sleep(hostForgetDelay + time.Second)
 	host.log.members.Store(&[]replica.Member{{URL: host.http.URL}, {URL: replacement.http.URL}})
-	host.UpdateEndpoint(endpoint("x", 1, directory.Ready))
+	host.UpdateEndpoint(context.Background(), endpoint("x", 1, directory.Ready))
 	g.Eventually(func() FollowerStatus { return f.Status() }, "3s").Should(And(HaveField("LiveHostCount", 2), HaveField("FollowedHostCount", 2)))
-	replacement.UpdateEndpoint(endpoint("y", 1, directory.Ready))
+	replacement.UpdateEndpoint(context.Background(), endpoint("y", 1, directory.Ready))
 	g.Eventually(c.state("y"), "3s").Should(Equal(directory.Ready))
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,7 +1,7 @@
 // Package fleet connects entry hosts with control hosts. A Server on each control host
 // serves the configuration document and the directory of endpoints; a Follower on each
 // entry watches every control host. Entries also exchange their load through the
-// control hosts.
+// control hosts. Control hosts pass on to each other which endpoints leave.
 package fleet
 
 import (
@@ -81,6 +81,7 @@
 	streams     *streamStarts
 	shares      *shareKeeper
 	usage       *usageKeeper // nil if usage is not counted
+	departures  *departureKeeper
 
 	storingQuarantine atomic.Bool   // one at a time
 	announcedVersion  atomic.Uint64 // the highest version of a document that a watch was told
@@ -104,7 +105,7 @@
 func NewServer(o ServerOptions) *Server {
 	return &Server{log: o.Log, state: o.State, minVoters: o.MinVoters, failureDomain: o.FailureDomain, selfURL: o.SelfURL, httpClient: o.HTTPClient, logger: o.Logger, startedAt: time.Now(),
 		stopped:   make(chan struct{}),
-		directory: directory.New(), changed: make(chan struct{}), watchCounts: map[string]int{}, loads: newLoadTable(), quarantine: newQuarantineKeeper(), throttle: throttle.New(), streams: newStreamStarts(), shares: newShareKeeper(), usage: newUsageKeeper(o.UsageWindow, o.UsageRetention)}
+		directory: directory.New(), changed: make(chan struct{}), watchCounts: map[string]int{}, loads: newLoadTable(), quarantine: newQuarantineKeeper(), throttle: throttle.New(), streams: newStreamStarts(), shares: newShareKeeper(), usage: newUsageKeeper(o.UsageWindow, o.UsageRetention), departures: newDepartureKeeper()}
 }
 
 // Handler returns the handler of FleetService and its path.
@@ -161,46 +162,74 @@
 	return version, content, err
 }
 
-// UpdateEndpoint merges the report of an endpoint into the directory.
-func (s *Server) UpdateEndpoint(e directory.Endpoint) {
+// UpdateEndpoint merges the report of an endpoint into the directory. It returns once a report
+// that the endpoint drains may be acknowledged. Errors are *DepartureNotHeldError or that of ctx.
+func (s *Server) UpdateEndpoint(ctx context.Context, e directory.Endpoint) error {
+	s.mergeReports(e)
+	if e.State != directory.Draining {
+		return nil
+	}
+	return s.holdDeparture(ctx, e)
+}
+
+// RemoveEndpoint marks an endpoint that leaves as gone, and returns once that may be
+// acknowledged. startedUnixMS is the start of its incarnation, 0 if the endpoint did not send it.
+// Errors are *DepartureNotHeldError or that of ctx.
+func (s *Server) RemoveEndpoint(ctx context.Context, id string, startedUnixMS int64, now time.Time) error {
 	s.mu.Lock()
-	changed := s.directory.MergeReport(e)
+	changed := s.directory.MarkGone(id, startedUnixMS, now)
 	if changed {
 		s.notifyWatchers()
 	}
+	departure := directory.Endpoint{ID: id, StartedUnixMS: startedUnixMS, State: directory.Gone, LastReportAt: now}
+	if known, ok := s.directory.Get(id); ok && known.State == directory.Gone && (startedUnixMS == 0 || known.StartedUnixMS == startedUnixMS) {
+		departure = known
+	}
 	s.mu.Unlock()
 	if changed {
-		s.logger.Info("endpoint changed", "endpoint", e.ID, "state", e.State.String(), "service", e.Service,
-			"address", e.Address, "born", e.StartedUnixMS, "sequence", e.Sequence)
+		s.logChange(departure)
 	}
+	return s.holdDeparture(ctx, departure)
 }
 
-// RemoveEndpoint marks an endpoint that leaves as gone. startedUnixMS is the start of its
-// incarnation, 0 if the endpoint did not send it.
-func (s *Server) RemoveEndpoint(id string, startedUnixMS int64, now time.Time) {
+// mergeReports merges reports into the directory.
+func (s *Server) mergeReports(reports ...directory.Endpoint) {
+	var changed []directory.Endpoint
 	s.mu.Lock()
-	changed := s.directory.MarkGone(id, startedUnixMS, now)
-	if changed {
+	for _, e := range reports {
+		if s.directory.MergeReport(e) {
+			changed = append(changed, e)
+		}
+	}
+	if len(changed) > 0 {
 		s.notifyWatchers()
 	}
 	s.mu.Unlock()
-	if changed {
-		s.logger.Info("endpoint changed", "endpoint", id, "state", directory.Gone.String(), "born", startedUnixMS)
+	for _, e := range changed {
+		s.logChange(e)
 	}
 }
 
+func (s *Server) logChange(e directory.Endpoint) {
+	s.logger.Info("endpoint changed", "endpoint", e.ID, "state", e.State.String(), "service", e.Service,
+		"address", e.Address, "born", e.StartedUnixMS, "sequence", e.Sequence)
+}
+
 // notifyWatchers makes every watch send the next event. The caller holds the lock.
 func (s *Server) notifyWatchers() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// Run expires silent endpoints, polls the load of the other failure domains, decides on
-// quarantines and records the versions that serve until ctx ends, and then ends the watches.
+// Run expires silent endpoints, polls the load of the other failure domains, exchanges departures
+// with the other control hosts, decides on quarantines and records the versions that serve until
+// ctx ends, and then ends the watches.
 func (s *Server) Run(ctx context.Context) error {
 	defer close(s.stopped)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { s.pollPeers(ctx); return nil })
+	group.Go(func() error { s.passDepartures(ctx); return nil })
+	group.Go(func() error { s.fetchDepartures(ctx); return nil })
 	group.Go(func() error { s.keepQuarantine(ctx); return nil })
 	group.Go(func() error { s.keepServedVersions(ctx); return nil })
 	group.Go(func() error { wait.Every(ctx, expireInterval, s.expireEndpoints); return nil })
@@ -214,6 +243,7 @@
 	defer s.mu.Unlock()
 	s.throttle.Expire(time.Now())
 	s.expireUsage()
+	s.departures.expire(s.directory)
 	if s.directory.Expire(time.Now()) {
 		s.notifyWatchers()
 	}
@@ -281,7 +311,8 @@
 }
 
 // readFrom makes a watch read a state machine, nil while there is none. One of another opening of the
-// data folder must be confirmed anew.
+// data folder must be confirmed anew. No state is confirmed before this host holds the departures that
+// were acknowledged before its start.
 func (s *Server) readFrom(ctx context.Context, w *watchState, machine *document.StateMachine) {
 	if w.machine == machine {
 		return
@@ -294,6 +325,7 @@
 	confirmed := make(chan struct{})
 	ctx, w.stopAwaiting = context.WithCancel(ctx)
 	go func() {
+		s.awaitDepartures(ctx)
 		if retryBarrier(ctx, func(ctx context.Context) error { return readBarrier(ctx, s.log, s.state, machine) }) {
 			close(confirmed)
 		}
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -181,7 +181,7 @@
 	state.replace(machine, false)
 	serving := endpoint("x", 1, directory.Ready)
 	serving.Version = "1"
-	host.UpdateEndpoint(serving)
+	g.Expect(host.UpdateEndpoint(t.Context(), serving)).To(Succeed())
 	g.Consistently(recorded, 4*servedVersionsInterval).Should(BeEmpty())
 	state.replace(machine, true)
 	g.Eventually(recorded, "5s").Should(Equal([]origin.Origin{{Service: "s", Version: "1"}}))
