Ask a majority before an unknown stream counts as the only version's

What callers saw: an entry host was out of step for seconds while endpoints of a new version joined. Streams of the new version that broke at other entries were taken up at it, and went on at the old version.

Cause: an entry took a stream up without a question if it knew one version, for 2 s or more, and one watch counted as live. None of this says that what it knows is new: a watch counts as live for 1.2 s after its last event, a process that was paused goes on before it has read its watches, and a control host that has lost the others keeps its watches alive with what it knew. Besides, the request was then not bound to that version: an endpoint of another one that joined while it waited could take it.

Fix: for each stream that an entry does not know, it asks the control hosts, and takes a version for the only one if a majority of the voters names no other. The question is asked after the caller has come, so it covers every stream that may be taken up, and a pause before, in between or after it changes nothing; no clock is used. It needs no leader: each host answers from what it has applied. A host counts only if it votes, has passed a read barrier since its start, and is not behind what it has shown. The request is bound to the version. That all endpoints have reported (settled) is no longer waited for: versions are recorded in the log. A version counts as long as it is recorded by a live host, instead of 2 minutes, so that starts are reported while hosts name it.

One small call to each control host for each taken-up stream that began elsewhere, which only mixed versions needed before.

Changed tests: TestUnknownStreamGoesOnWhereOneVersionServes demanded that no question is asked, which is the fault; it demands one question and no wait now. TestRecordedVersionsCountAsJustGone ends the time at the end of the record. TestServiceSettlesAfterItsFirstEndpoint goes with what it tested; TestHostThatIsBehindDoesNotCount takes its place.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -31,6 +31,8 @@
 	*replica.MemoryLog
 	quorumLost atomic.Bool
 	members    atomic.Pointer[[]replica.Member]
+	id         atomic.Uint64
+	applied    atomic.Uint64 // index
 }
 
 func (l *singleHostLog) ReadBarrier(context.Context) error {
@@ -40,7 +42,9 @@
 	return nil
 }
 
-func (l *singleHostLog) Status() replica.Status { return replica.Status{Members: *l.members.Load()} }
+func (l *singleHostLog) Status() replica.Status {
+	return replica.Status{ID: l.id.Load(), Members: *l.members.Load(), IsVoter: true, AppliedIndex: l.applied.Load()}
+}
 
 // fixedState is a state that is up to date and never replaced.
 type fixedState struct{ machine *document.StateMachine }
@@ -58,6 +62,7 @@
 func newControlHost(t *testing.T, failureDomain string) *controlHost {
 	machine := document.New()
 	log := &singleHostLog{MemoryLog: replica.NewMemoryLog(machine)}
+	log.id.Store(1)
 	log.members.Store(&[]replica.Member{{ID: 1, IsVoter: true}})
 	return startControlHost(t, failureDomain, log, machine)
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -79,8 +79,9 @@
 	confirmed         bool // see FollowerStatus
 	entryCount        int
 	quarantined       map[uint64]bool
-	wake              chan struct{} // makes Run update the set of followed hosts
-	documentAvailable chan struct{} // a control host has a newer document
+	served            map[origin.Origin]bool // nil before the first event with it
+	wake              chan struct{}          // makes Run update the set of followed hosts
+	documentAvailable chan struct{}          // a control host has a newer document
 }
 
 // host is one control host that is followed.
@@ -220,6 +221,7 @@
 	if changed {
 		h.live, h.liveChangedAt = live, time.Now()
 		h.confirmed = false
+		f.updateServed()
 	}
 	f.mu.Unlock()
 	if !changed {
--- a/internal/fleet/served_versions.go
+++ b/internal/fleet/served_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,6 +50,46 @@
 	return serving
 }
 
+// knownVersions returns the versions of a service that are recorded or report to this host.
+func (s *Server) knownVersions(view StateView, service string) []string {
+	known := s.servingVersions()
+	if view.Machine != nil {
+		record, _ := view.Machine.Served()
+		for _, o := range record.Versions() {
+			known[o] = true
+		}
+	}
+	var versions []string
+	for o := range known {
+		if o.Service == service {
+			versions = append(versions, o.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// recordVote returns how this host counts towards a majority, and whether the record of the view may count:
+// the host votes, and the record is up to date and not older than what the host has shown since its start.
+func (s *Server) recordVote(view StateView) (vote *pb.ReplicaVote, complete bool) {
+	status := s.log.Status()
+	vote = &pb.ReplicaVote{Replica: status.ID, Applied: status.AppliedIndex}
+	for _, m := range status.Members {
+		if m.IsVoter {
+			vote.Voters = append(vote.Voters, m.ID)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	complete = view.UpToDate && status.IsVoter && status.AppliedIndex >= s.shownIndex
+	s.shownIndex = max(s.shownIndex, status.AppliedIndex)
+	return vote, complete
+}
+
+func voteFromProto(v *pb.ReplicaVote) origin.Vote {
+	return origin.Vote{Replica: v.GetReplica(), Voters: v.GetVoters(), Applied: v.GetApplied()}
+}
+
 func (s *Server) storeServedVersion(ctx context.Context, change origin.Change) bool {
 	ctx, cancel := context.WithTimeout(ctx, servedVersionsTimeout)
 	defer cancel()
@@ -63,6 +104,8 @@
 
 // servedUpdate returns the recorded versions, nil if a watch has been sent them.
 func (s *Server) servedUpdate(w *watchState) *pb.ServedVersions {
+	view := StateView{Machine: w.machine, UpToDate: w.confirmed}
+	_, _ = s.recordVote(view) // notes that an entry may see the record
 	record, _ := w.machine.Served()
 	versions := record.Versions()
 	if w.servedSent && slices.Equal(versions, w.served) {
@@ -84,13 +127,20 @@
 	return versions
 }
 
-// updateServed merges the versions that the hosts have recorded. The caller holds the lock.
+// updateServed merges the versions that the live hosts have recorded, without one those of all hosts. The
+// caller holds the lock.
 func (f *Follower) updateServed() {
-	merged := map[origin.Origin]bool{}
+	merged, anyLive := map[origin.Origin]bool{}, f.anyHostLive()
 	for _, h := range f.hosts {
+		if !h.live && anyLive {
+			continue
+		}
 		for _, o := range h.served {
 			merged[o] = true
 		}
 	}
-	f.options.Consumer.SetServedVersions(merged)
+	if !maps.Equal(merged, f.served) {
+		f.served = merged
+		f.options.Consumer.SetServedVersions(merged)
+	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -82,6 +82,7 @@
 	shares      *shareKeeper
 	usage       *usageKeeper // nil if usage is not counted
 	departures  *departureKeeper
+	shownIndex  uint64 // highest applied index of the log that an entry may have seen
 
 	storingQuarantine atomic.Bool   // one at a time
 	announcedVersion  atomic.Uint64 // the highest version of a document that a watch was told
--- a/internal/fleet/stream_starts.go
+++ b/internal/fleet/stream_starts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,8 +14,6 @@
 
 const (
 	findStreamTimeout = 200 * time.Millisecond
-	// settleTime is how long after the start of a control host all endpoints have reported to one.
-	settleTime = 3 * time.Second
 	// maxStoredStarts and maxStartsPerResponse hold what the entries of a failure domain report
 	// between several polls of a peer.
 	maxStoredStarts      = 16384
@@ -38,56 +38,63 @@
 	s.log.add(now, entry, starts)
 }
 
-// FindStream returns the origin of a stream if this host knows it.
+// FindStream returns the origin of a stream if this host knows it, and the versions of its service.
 func (s *Server) FindStream(_ context.Context, req *connect.Request[pb.FindStreamRequest]) (*connect.Response[pb.FindStreamResponse], error) {
+	response := &pb.FindStreamResponse{}
+	view := s.state.State()
+	response.Vote, response.Complete = s.recordVote(view) // before the record is read
+	response.Versions = s.knownVersions(view, req.Msg.AskedService)
+	response.Settled = response.Complete // for entries of older builds
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, known := s.streams.memory.Find(req.Msg.Stream)
-	return connect.NewResponse(&pb.FindStreamResponse{Known: known, Service: o.Service, Version: o.Version, Settled: time.Since(s.startedAt) > settleTime}), nil
+	response.Known, response.Service, response.Version = known, o.Service, o.Version
+	return connect.NewResponse(response), nil
 }
 
-// FindStream asks all live control hosts for the origin of a stream, and returns what the first
-// one knows. If none does, settled tells whether one has run long enough to know all endpoints.
-func (f *Follower) FindStream(ctx context.Context, stream uint64) (o origin.Origin, known, settled bool) {
-	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
-	defer cancel()
-	hosts := f.liveHosts()
-	found := make(chan *pb.FindStreamResponse, len(hosts))
+// FindStream asks all control hosts, as one whose watch is lost may be reached again. It returns once one
+// knows the stream, or a majority knows the only version of the service.
+func (f *Follower) FindStream(ctx context.Context, service string, stream uint64) origin.Finding {
+	hosts := f.followedHosts()
+	answers := make(chan *origin.Answer, len(hosts))
 	for _, h := range hosts {
-		go func() {
-			response, err := h.client.FindStream(ctx, connect.NewRequest(&pb.FindStreamRequest{Stream: stream}))
-			if err != nil {
-				f.options.Logger.Debug("origin of a stream not received", "url", h.url, "error", err)
-				found <- &pb.FindStreamResponse{}
-				return
-			}
-			found <- response.Msg
-		}()
+		go func() { answers <- f.askForStream(ctx, h, service, stream) }()
 	}
+	var finding origin.Finding
 	for range hosts {
-		response := <-found
-		if response.Known {
-			return origin.Origin{Service: response.Service, Version: response.Version}, true, true
+		select {
+		case a := <-answers:
+			if a != nil {
+				finding.Add(*a)
+			}
+		case <-ctx.Done():
+			return finding
+		}
+		if finding.Known || finding.Complete && len(finding.Versions) == 1 {
+			break
 		}
-		settled = settled || response.Settled
 	}
-	return origin.Origin{}, false, settled
+	return finding
 }
 
-// InContact reports whether any control host is live, and the versions that serve, or did so short
-// ago, are known from one.
-func (f *Follower) InContact() bool { return f.Status().Confirmed && len(f.liveHosts()) > 0 }
+// askForStream returns the answer of a control host, nil if there is none. It does not end with ctx, since
+// that would close the connection.
+func (f *Follower) askForStream(ctx context.Context, h *host, service string, stream uint64) *origin.Answer {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), findStreamTimeout)
+	defer cancel()
+	response, err := h.client.FindStream(ctx, connect.NewRequest(&pb.FindStreamRequest{Stream: stream, AskedService: service}))
+	if err != nil {
+		f.options.Logger.Debug("origin of a stream not received", "url", h.url, "error", err)
+		return nil
+	}
+	m := response.Msg
+	return &origin.Answer{Origin: origin.Origin{Service: m.Service, Version: m.Version}, Known: m.Known, Versions: m.Versions, Complete: m.Complete, Vote: voteFromProto(m.Vote)}
+}
 
-func (f *Follower) liveHosts() []*host {
+func (f *Follower) followedHosts() []*host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var live []*host
-	for _, h := range f.hosts {
-		if h.live {
-			live = append(live, h)
-		}
-	}
-	return live
+	return slices.Collect(maps.Values(f.hosts))
 }
 
 // streamStartsToProto groups successive starts by origin, and so keeps their order.
--- a/internal/fleet/stream_starts_test.go
+++ b/internal/fleet/stream_starts_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/origin"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 )
 
 // Guards against a stream whose origin only the entry that began it knows. Entries of other failure
@@ -27,12 +29,10 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = inA.ExchangeLoad(ctx, LoadReport{Urgent: true, StreamStarts: []origin.Start{{Stream: 7, Origin: v1}, {Stream: 8, Origin: v2}, {Stream: 7, Origin: v2}}})
 	g.Expect(err).NotTo(HaveOccurred())
-	o, known, _ := inB.FindStream(ctx, 7)
-	g.Expect(known).To(BeTrue())
-	g.Expect(o).To(Equal(v2), "the newest start counts")
-	_, known, settled := inB.FindStream(ctx, 9)
-	g.Expect(known).To(BeFalse())
-	g.Expect(settled).To(BeFalse(), "the hosts have just started")
+	found := inB.FindStream(ctx, "s", 7)
+	g.Expect(found.Known).To(BeTrue())
+	g.Expect(found.Origin).To(Equal(v2), "the newest start counts")
+	g.Expect(inB.FindStream(ctx, "s", 9).Known).To(BeFalse())
 
 	stop := keepReporting([]*Follower{inB})
 	defer stop()
@@ -45,9 +45,9 @@
 	g.Eventually(knownAtB, "3s").Should(BeTrue())
 	newcomer, _ := startFollowerIn(t, "new", "c", b)
 	g.Eventually(func() int { return newcomer.Status().LiveHostCount }, "3s").Should(BeNumerically(">", 0))
-	o, known, _ = newcomer.FindStream(ctx, 8)
-	g.Expect(known).To(BeTrue())
-	g.Expect(o).To(Equal(v2))
+	found = newcomer.FindStream(ctx, "s", 8)
+	g.Expect(found.Known).To(BeTrue())
+	g.Expect(found.Origin).To(Equal(v2))
 }
 
 // Guards against streams that few of 70 entries can take up: each entry began some, in five failure
@@ -99,8 +99,69 @@
 	hosts[0].http.Close()
 	for i, f := range entries {
 		stream := uint64((i*streamsPerEntry + 7) * 3 % (len(entries) * streamsPerEntry))
-		o, known, _ := f.FindStream(ctx, stream)
-		g.Expect(known).To(BeTrue(), "entry %d", i)
-		g.Expect(o.Version).To(Equal(fmt.Sprint("v", stream%streamsPerEntry%3)))
+		found := f.FindStream(ctx, "s", stream)
+		g.Expect(found.Known).To(BeTrue(), "entry %d", i)
+		g.Expect(found.Origin.Version).To(Equal(fmt.Sprint("v", stream%streamsPerEntry%3)))
 	}
 }
+
+// newVoters starts three control hosts of one cluster, each of which has recorded a version.
+func newVoters(t *testing.T, o origin.Origin) []*controlHost {
+	var hosts []*controlHost
+	for i, domain := range []string{"a", "b", "c"} {
+		h := newControlHost(t, domain)
+		h.log.id.Store(uint64(i + 1))
+		h.log.members.Store(&[]replica.Member{{ID: 1, IsVoter: true}, {ID: 2, IsVoter: true}, {ID: 3, IsVoter: true}})
+		_, _ = h.log.Propose(context.Background(), document.EncodeServedCommand(origin.Change{Origin: o, Presence: origin.Serving}))
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+// Guards against an entry that takes the only version it hears of for the only one that serves, while it
+// reaches one of three hosts, and against one that refuses streams of the only version for want of a
+// leader or of one host.
+func TestOnlyVersionIsKnownFromAMajorityWithoutALeader(t *testing.T) {
+	g := NewWithT(t)
+	v1 := origin.Origin{Service: "s", Version: "v1"}
+	hosts := newVoters(t, v1)
+	f, _ := startFollowerIn(t, "e", "a", hosts...)
+	ctx := context.Background()
+	find := func() origin.Finding { return f.FindStream(ctx, "s", 7) }
+	g.Eventually(func() bool { return find().Complete }, "3s").Should(BeTrue())
+	for _, h := range hosts {
+		h.log.quorumLost.Store(true)
+	}
+	found := find()
+	g.Expect(found.Complete).To(BeTrue(), "an election")
+	g.Expect(found.Versions).To(Equal(map[string]bool{"v1": true}))
+	for i, expected := range []bool{true, false} {
+		hosts[i].http.CloseClientConnections()
+		hosts[i].http.Close()
+		found = find()
+		g.Expect(found.Answered).To(BeTrue())
+		g.Expect(found.Complete).To(Equal(expected), "%d hosts lost", i+1)
+	}
+}
+
+// Guards against hosts that answer from their disk, after all of them have restarted, before they know
+// what was acknowledged; and against one whose data folder was opened again at an older state.
+func TestHostThatIsBehindDoesNotCount(t *testing.T) {
+	g := NewWithT(t)
+	machine := document.New()
+	log := &singleHostLog{MemoryLog: replica.NewMemoryLog(machine)}
+	log.id.Store(1)
+	log.members.Store(&[]replica.Member{{ID: 1, IsVoter: true}})
+	log.quorumLost.Store(true)
+	h := startControlHost(t, "a", log, machine)
+	f, _ := startFollowerIn(t, "e", "a", h)
+	find := func() origin.Finding { return f.FindStream(context.Background(), "s", 7) }
+	g.Eventually(func() bool { return find().Answered }, "3s").Should(BeTrue())
+	g.Consistently(func() bool { return find().Complete }, "300ms").Should(BeFalse())
+	log.quorumLost.Store(false)
+	g.Eventually(func() bool { return find().Complete }, "3s").Should(BeTrue())
+	log.applied.Store(9)
+	g.Expect(find().Complete).To(BeTrue())
+	log.applied.Store(8)
+	g.Expect(find().Complete).To(BeFalse())
+}
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,24 +21,21 @@
 	maxPendingStarts = 8192
 	// A request that takes a stream up waits for its origin for maxOriginWait, since reports of
 	// other entries may be under way, and at most for its time left divided by originWaitDivisor.
-	// Until all endpoints of the service have reported it waits for maxUnsettledWait.
+	// While control hosts answer that have just started it waits for maxCatchUpWait.
 	maxOriginWait      = 300 * time.Millisecond
-	maxUnsettledWait   = 2 * time.Second
+	maxCatchUpWait     = 2 * time.Second
 	originWaitDivisor  = 3
 	originPollInterval = 50 * time.Millisecond
 )
 
 // StreamFinder finds the origin of streams that began at other entries.
 type StreamFinder interface {
-	// FindStream returns the origin of a stream. If it is not known, settled tells whether all
-	// endpoints are known by now.
-	FindStream(ctx context.Context, stream uint64) (o origin.Origin, known, settled bool)
-	// InContact reports whether what other hosts say of the versions that serve arrives.
-	InContact() bool
+	// FindStream asks the control hosts for the origin of a stream and the versions of its service.
+	FindStream(ctx context.Context, service string, stream uint64) origin.Finding
 }
 
 // UnknownOriginError reports that a caller takes a stream up of which no host knows the software
-// version that began it, while endpoints of several versions serve.
+// version that began it, and that several versions may serve.
 type UnknownOriginError struct {
 	ResumedID string // ID of the request that brought the first event, "" if the caller named none
 }
@@ -153,7 +151,8 @@
 }
 
 // findOrigin finds the origin of a stream that the caller takes up. If only one version serves,
-// an unknown stream began there. An error is an *UnknownOriginError.
+// an unknown stream began there. What this entry knows of the versions may be old, without a sign of it, so
+// control hosts are asked. An error is an *UnknownOriginError.
 func (a *activeRequest) findOrigin(ctx context.Context) error {
 	if a.request.LastEventID == "" || !a.isResumable() {
 		return nil
@@ -165,62 +164,56 @@
 			a.setOrigin(k.origin)
 			return nil
 		}
-		oneVersion := !k.mixed && k.inContact
-		if oneVersion && k.settled {
-			return nil
-		}
 		if time.Since(started) <= a.originWait(k) && wait.For(ctx, originPollInterval) {
 			continue
 		}
-		if oneVersion {
-			return nil
-		}
 		return errors.WithStack(&UnknownOriginError{ResumedID: a.request.ResumedID})
 	}
 }
 
 // originKnowledge is what hosts know of a stream and of the versions of its service.
 type originKnowledge struct {
-	origin    origin.Origin
-	known     bool
-	mixed     bool // endpoints of several versions serve, or did so short ago
-	settled   bool // all endpoints are known
-	inContact bool // with a control host: an entry without one misses new versions
+	origin     origin.Origin
+	known      bool
+	catchingUp bool // control hosts answer, and too few know all versions yet
 }
 
-// lookUpOrigin returns what this entry knows and, where that does not suffice, the control hosts.
+// lookUpOrigin returns what this entry knows or, where that does not suffice, the control hosts.
 func (a *activeRequest) lookUpOrigin(ctx context.Context, key uint64) originKnowledge {
-	finder := a.options.StreamFinder
-	k := a.knownOrigin(key)
-	k.inContact = finder == nil || finder.InContact()
-	if k.known || finder == nil || !k.mixed && k.settled && k.inContact {
-		return k
+	now, service := time.Now(), a.request.Service
+	a.mu.Lock()
+	o, known := a.origins.memory.Find(key)
+	versions := a.origins.versions.Known(now, service)
+	a.mu.Unlock()
+	if known {
+		return originKnowledge{origin: o, known: true}
+	}
+	complete, catchingUp := true, false
+	if a.options.StreamFinder != nil {
+		finding := a.options.StreamFinder.FindStream(ctx, service, key)
+		if finding.Known {
+			return originKnowledge{origin: finding.Origin, known: true}
+		}
+		maps.Copy(versions, finding.Versions)
+		complete, catchingUp = finding.Complete, finding.Answered && !finding.Complete
+	}
+	if complete && len(versions) == 1 {
+		for version := range versions {
+			return originKnowledge{origin: origin.Origin{Service: service, Version: version}, known: true}
+		}
 	}
-	hostsSettled := false
-	k.origin, k.known, hostsSettled = finder.FindStream(ctx, key)
-	k.settled = k.settled || hostsSettled
-	return k
+	return originKnowledge{catchingUp: catchingUp && len(versions) <= 1}
 }
 
 // originWait returns how long to wait for the origin of a stream.
 func (a *activeRequest) originWait(k originKnowledge) time.Duration {
 	limit := maxOriginWait
-	if !k.settled && k.inContact {
-		limit = maxUnsettledWait
+	if k.catchingUp {
+		limit = maxCatchUpWait
 	}
 	return min(limit, a.request.Deadline.Sub(a.request.ReceivedAt)/originWaitDivisor)
 }
 
-// knownOrigin returns what this entry knows by itself.
-func (a *activeRequest) knownOrigin(key uint64) originKnowledge {
-	now, service := time.Now(), a.request.Service
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	k := originKnowledge{mixed: a.origins.versions.Mixed(now, service), settled: a.origins.versions.Settled(now, service)}
-	k.origin, k.known = a.origins.memory.Find(key)
-	return k
-}
-
 // setOrigin restricts the request to endpoints of the version that began its stream, at the same
 // service if the route still leads there.
 func (a *activeRequest) setOrigin(o origin.Origin) {
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -26,18 +26,21 @@
 
 // knownStreams stands for control hosts.
 type knownStreams struct {
-	origins  map[uint64]origin.Origin
-	settled  bool
-	isolated bool // no control host is reached
-	calls    int
+	origins    map[uint64]origin.Origin
+	versions   []string // of the service, as the hosts know
+	catchingUp bool     // the hosts have just started
+	isolated   bool     // no control host is reached
+	calls      int
 }
 
-func (k *knownStreams) InContact() bool { return !k.isolated }
-
-func (k *knownStreams) FindStream(_ context.Context, stream uint64) (o origin.Origin, known, settled bool) {
+func (k *knownStreams) FindStream(_ context.Context, _ string, stream uint64) (f origin.Finding) {
 	k.calls++
-	o, known = k.origins[stream]
-	return o, known, k.settled
+	if k.isolated {
+		return f
+	}
+	o, known := k.origins[stream]
+	f.Add(origin.Answer{Origin: o, Known: known, Versions: k.versions, Complete: !k.catchingUp, Vote: origin.Vote{Replica: 1, Voters: []uint64{1}}})
+	return f
 }
 
 // takenUp is a request that takes a stream up after two events.
@@ -95,7 +98,7 @@
 	f := newFleet(t, streamEvents(5, 0), streamEvents(5, 0))
 	f.setVersion(0, "v1", directory.Ready)
 	f.setVersion(1, "v2", directory.Ready)
-	finder := &knownStreams{settled: true, origins: map[uint64]origin.Origin{streamKey("", "elsewhere"): {Service: "s", Version: "v2"}}}
+	finder := &knownStreams{origins: map[uint64]origin.Origin{streamKey("", "elsewhere"): {Service: "s", Version: "v2"}}}
 	f.options.StreamFinder = finder
 	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), takenUp("elsewhere"))).To(Succeed())
 	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), takenUp("r1"))).To(Succeed(), "taken up again, named by the attempt that went on")
@@ -115,28 +118,62 @@
 	g.Expect(reasonOf(f.Serve(context.Background(), httptest.NewRecorder(), other))).To(Equal(UnknownOrigin), "a stream of another workspace")
 }
 
-// Guards against streams that are refused, or wait, though only one version serves.
+// Guards against streams that are refused, or wait, though only one version serves and control hosts are
+// reached: one question is enough.
 func TestUnknownStreamGoesOnWhereOneVersionServes(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, streamEvents(5, 0), streamEvents(5, 0))
+	f.origins.versions = origin.NewVersions()
 	f.setVersion(0, "v1", directory.Ready)
 	f.setVersion(1, "v1", directory.Ready)
-	f.origins.versions = origin.NewVersions()
-	f.origins.versions.Update(time.Now().Add(-time.Minute), "e0", origin.Origin{Service: "s", Version: "v1"}, false)
-	finder := &knownStreams{}
+	finder := &knownStreams{versions: []string{"v1"}}
 	f.options.StreamFinder = finder
+	started := time.Now()
 	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), takenUp("unknown"))).To(Succeed())
-	g.Expect(finder.calls).To(BeZero())
+	g.Expect(finder.calls).To(Equal(1))
+	g.Expect(time.Since(started)).To(BeNumerically("<", maxOriginWait))
+	finder.calls = 0
+	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), newRequest(catalog.EventStream, true))).To(Succeed())
+	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), takenUp("r1"))).To(Succeed())
+	g.Expect(finder.calls).To(BeZero(), "it began here")
+}
 
-	f.origins.versions = origin.NewVersions() // this entry has just arrived
+// Guards against an entry that has missed that another version came, and joins a stream of it to what the
+// version writes that it takes for the only one.
+func TestUnknownStreamIsNotJoinedByAnEntryThatMissedAVersion(t *testing.T) {
+	for name, finder := range map[string]*knownStreams{"reached": {versions: []string{"v1", "v2"}}, "only the new one": {versions: []string{"v2"}},
+		"isolated": {isolated: true}, "just started": {catchingUp: true, versions: []string{"v1"}}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, streamEvents(5, 0))
+			f.setVersion(0, "v1", directory.Ready)
+			f.options.StreamFinder = finder
+			f.origins.versions = origin.NewVersions() // without the version that newFleet has set
+			f.origins.versions.Update(time.Now().Add(-time.Minute), "e0", origin.Origin{Service: "s", Version: "v1"}, false)
+			started, err := time.Now(), f.Serve(context.Background(), httptest.NewRecorder(), takenUp("unknown"))
+			t.Logf("refused after %v: %v", time.Since(started), err)
+			g.Expect(reasonOf(err)).To(Equal(UnknownOrigin))
+			g.Expect(f.requests()).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a taken-up stream that waits for an endpoint, or is tried again, and then goes on at a
+// version that has joined meanwhile.
+func TestTakenUpStreamStaysAtTheOnlyVersionThatServed(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, streamEvents(5, 1), streamEvents(5, 0))
+	f.origins.versions = origin.NewVersions()
 	f.setVersion(0, "v1", directory.Ready)
-	finder.settled = true
-	g.Expect(f.Serve(context.Background(), httptest.NewRecorder(), takenUp("unknown"))).To(Succeed())
-	g.Expect(finder.calls).To(Equal(1), "control hosts know all endpoints")
+	f.options.StreamFinder = &knownStreams{versions: []string{"v1"}}
+	a := &activeRequest{Router: f.Router, request: takenUp("unknown")}
+	g.Expect(a.findOrigin(context.Background())).To(Succeed())
+	f.setVersion(1, "v2", directory.Ready)
+	g.Expect(a.balanceRequest().OnlyVersion).To(BeTrue())
+	g.Expect(a.balanceRequest().Version).To(Equal("v1"))
 }
 
-// Guards against an entry without control hosts, which has missed that another version came: the
-// caller takes its stream up at another entry instead.
+// Guards against streams that are refused at an entry without control hosts although they began there.
 func TestUnknownStreamIsRefusedWithoutControlHosts(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, streamEvents(5, 0))
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -68,11 +68,27 @@
 	g.Expect(v.Mixed(now, "s")).To(BeTrue(), "gone before this host arrived")
 }
 
-func TestServiceSettlesAfterItsFirstEndpoint(t *testing.T) {
+// Guards against a version that is taken for the only one on the word of hosts that may have missed another:
+// fewer than a majority, hosts that have just started, or a membership that has been replaced.
+func TestOnlyAMajorityKnowsAllVersions(t *testing.T) {
 	g := NewWithT(t)
-	v := NewVersions()
-	g.Expect(v.Settled(start, "s")).To(BeFalse())
-	v.Update(start, "a", v1, false)
-	g.Expect(v.Settled(start.Add(settleTime), "s")).To(BeFalse())
-	g.Expect(v.Settled(start.Add(settleTime+time.Millisecond), "s")).To(BeTrue())
+	answer := func(replica, applied uint64, complete bool, voters ...uint64) Answer {
+		return Answer{Versions: []string{"v1"}, Complete: complete, Vote: Vote{Replica: replica, Applied: applied, Voters: voters}}
+	}
+	complete := func(answers ...Answer) bool {
+		var f Finding
+		for _, a := range answers {
+			f.Add(a)
+		}
+		return f.Complete
+	}
+	g.Expect(complete()).To(BeFalse())
+	g.Expect(complete(answer(1, 9, true, 1))).To(BeTrue())
+	g.Expect(complete(answer(1, 9, true, 1, 2, 3))).To(BeFalse())
+	g.Expect(complete(answer(1, 9, true, 1, 2, 3), answer(1, 9, true, 1, 2, 3))).To(BeFalse(), "the same host under two URLs")
+	g.Expect(complete(answer(1, 9, true, 1, 2, 3), answer(2, 8, true, 1, 2, 3))).To(BeTrue())
+	g.Expect(complete(answer(1, 9, true, 1, 2, 3), answer(2, 8, false, 1, 2, 3))).To(BeFalse(), "one has just started")
+	g.Expect(complete(answer(1, 9, true, 1, 2, 3, 4), answer(2, 8, true, 1, 2, 3))).To(BeFalse(), "a fourth voter has joined")
+	g.Expect(complete(answer(1, 9, true, 1, 2, 3), answer(4, 9, true, 1, 2, 3))).To(BeFalse(), "a host that no longer votes")
+	g.Expect(complete(answer(1, 9, true))).To(BeFalse(), "no membership known")
 }
--- a/internal/origin/record_test.go
+++ b/internal/origin/record_test.go
@@ -128,8 +128,9 @@
 	v.SetRecorded(now, map[Origin]bool{v1: true, v2: true})
 	g.Expect(v.Mixed(now.Add(goneTTL), "s")).To(BeTrue())
 	v.SetRecorded(now.Add(goneTTL), map[Origin]bool{v1: true, v2: true, {Service: "other", Version: "v1"}: true})
-	g.Expect(v.Mixed(now.Add(goneTTL+time.Second), "s")).To(BeFalse(), "recorded for long, and no endpoint came")
+	g.Expect(v.Mixed(now.Add(goneTTL+time.Second), "s")).To(BeTrue(), "control hosts record it as long as one of them may have seen it")
 	v.SetRecorded(now.Add(goneTTL+2*time.Second), map[Origin]bool{v2: true})
+	g.Expect(v.Mixed(now.Add(goneTTL+2*time.Second), "s")).To(BeFalse(), "forgotten, and no endpoint came")
 	v.SetRecorded(now.Add(goneTTL+3*time.Second), map[Origin]bool{v1: true, v2: true})
 	g.Expect(v.Mixed(now.Add(goneTTL+4*time.Second), "s")).To(BeTrue(), "recorded again")
 }
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -2,26 +2,21 @@
 
 import "time"
 
-const (
-	// goneTTL is how long after its last endpoint has gone a version may have begun streams that
-	// callers take up.
-	goneTTL = 2 * time.Minute
-	// settleTime is how long after a service became known all its endpoints have reported.
-	settleTime = 2 * time.Second
-)
+// goneTTL is how long after its last endpoint has gone a version may have begun streams that
+// callers take up.
+const goneTTL = 2 * time.Minute
 
 // Versions tracks which software versions the endpoints of services have.
 type Versions struct {
 	byEndpoint map[string]Origin // by endpoint ID
 	endpoints  map[Origin]int    // number of endpoints
 	goneAt     map[Origin]time.Time
-	knownSince map[string]time.Time // by service
-	recorded   map[Origin]bool      // by the control hosts
+	recorded   map[Origin]bool // by the control hosts
 }
 
 // NewVersions returns a tracker without endpoints.
 func NewVersions() *Versions {
-	return &Versions{byEndpoint: map[string]Origin{}, endpoints: map[Origin]int{}, goneAt: map[Origin]time.Time{}, knownSince: map[string]time.Time{}}
+	return &Versions{byEndpoint: map[string]Origin{}, endpoints: map[Origin]int{}, goneAt: map[Origin]time.Time{}}
 }
 
 // Update applies the state of an endpoint.
@@ -36,9 +31,6 @@
 	if o.Service == "" {
 		return // a departure of an endpoint that was never known
 	}
-	if v.knownSince[o.Service].IsZero() {
-		v.knownSince[o.Service] = now
-	}
 	if gone {
 		v.goneAt[o] = now
 		return
@@ -59,12 +51,18 @@
 	}
 }
 
-// Mixed reports whether endpoints of several versions serve a service, or did so short ago.
-func (v *Versions) Mixed(now time.Time, service string) bool {
-	seen := map[string]bool{}
+// Known returns the versions of a service that serve, or did so short ago: as long as one is recorded, and
+// for goneTTL after its last endpoint has gone.
+func (v *Versions) Known(now time.Time, service string) map[string]bool {
+	known := map[string]bool{}
 	for o := range v.endpoints {
 		if o.Service == service {
-			seen[o.Version] = true
+			known[o.Version] = true
+		}
+	}
+	for o := range v.recorded {
+		if o.Service == service {
+			known[o.Version] = true
 		}
 	}
 	for o, at := range v.goneAt {
@@ -72,14 +70,11 @@
 		case now.Sub(at) > goneTTL:
 			delete(v.goneAt, o)
 		case o.Service == service:
-			seen[o.Version] = true
+			known[o.Version] = true
 		}
 	}
-	return len(seen) > 1
+	return known
 }
 
-// Settled reports whether a service has been known for long enough that Mixed knows all versions.
-func (v *Versions) Settled(now time.Time, service string) bool {
-	since := v.knownSince[service]
-	return !since.IsZero() && now.Sub(since) > settleTime
-}
+// Mixed reports whether endpoints of several versions serve a service, or did so short ago.
+func (v *Versions) Mixed(now time.Time, service string) bool { return len(v.Known(now, service)) > 1 }
--- a/internal/replica/memory.go
+++ b/internal/replica/memory.go
@@ -37,7 +37,7 @@
 func (l *MemoryLog) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Status{ID: 1, Term: 1, LeaderID: 1, IsLeader: true, CommitIndex: l.index, AppliedIndex: l.index,
+	return Status{ID: 1, Term: 1, LeaderID: 1, IsLeader: true, CommitIndex: l.index, AppliedIndex: l.index, IsVoter: true,
 		Members: []Member{{ID: 1, IsVoter: true, MatchIndex: l.index}}}
 }
 
