Keep a stream's attempts at the version that has been reported

Cause: each attempt at a stream is reported when it is sent, and the newest counts. An attempt at one version that brings no event, as it is refused or breaks off, may be reported before the next one is sent at another version. That second report comes up to 0.3 s later, reaches other control hosts later still, and never if the entry is cut off meanwhile. The first host that answers where the caller takes the stream up decides.

Evidence: TestReportedStartBindsTheNextAttempts fails without the rule (broken by hand, also with a rule that binds the last attempt only).

Fix: once starts have been taken for a report, the further attempts of a request stay at the version of its last attempt before that. Before, a start that is replaced goes into the same report as its successor, and they keep their order.

Cost: an attempt that ends without an event after its report has no endpoint of other versions to try; if no other of its version is left the caller gets the answer it would get from a service without other endpoints.

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -77,6 +77,8 @@
 	writtenStatus   int                           // status written to the caller, 0 for none
 	origin          atomic.Pointer[origin.Origin] // of the stream, nil before its first event
 	lastEventID     string                        // last event written, or the one that the caller resumes after
+	startVersion    string                        // of the endpoint of the last attempt at the stream; guarded by Router.mu
+	startReports    uint64                        // streamOrigins.reports at the first attempt in a row at startVersion, 0 before
 	resumeCount     int
 	firstResponseAt time.Time // zero until the first event or the complete response
 	lastEventAt     time.Time
@@ -223,6 +225,7 @@
 		now := time.Now()
 		a.mu.Lock()
 		a.setTurn(&request, now, now.Sub(started) >= deferral)
+		a.restrictVersion(&request)
 		choice, err := a.table.Choose(now, request)
 		if err == nil {
 			err = a.admit(now, choice)
@@ -247,14 +250,11 @@
 	a.recordStart(now, choice.Version)
 }
 
-// balanceRequest returns the properties of the request that decide on its endpoint.
+// balanceRequest returns the properties of the request that decide on its endpoint, without restrictVersion.
 func (a *activeRequest) balanceRequest() balance.Request {
 	request := balance.Request{Service: a.request.Service, PromptTokens: a.request.PromptTokens, Parts: a.request.PromptParts,
 		ExpectedOutputTokens: a.request.ExpectedOutputTokens, BodyBytes: len(a.request.Body), Urgency: a.request.Urgency, RouteRank: a.request.Route.Rank,
 		LatencyTarget: a.request.Route.LatencyTarget, GapTarget: a.request.Route.GapTarget, TriedEndpoints: a.triedEndpoints, OutsideShare: a.outsideShare}
-	if o := a.origin.Load(); o != nil {
-		request.OnlyVersion, request.Version = true, o.Version
-	}
 	return request
 }
 
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/balance"
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/origin"
@@ -58,10 +59,11 @@
 	versions *origin.Versions
 	mixed    map[string]bool // services of which several versions serve
 	pending  []origin.Start  // to be reported
+	reports  uint64          // number of times that starts were taken to be reported; at least 1
 }
 
 func newStreamOrigins() *streamOrigins {
-	return &streamOrigins{versions: origin.NewVersions(), mixed: map[string]bool{}}
+	return &streamOrigins{versions: origin.NewVersions(), mixed: map[string]bool{}, reports: 1}
 }
 
 // update applies changes of the directory. Starts are reported only while several versions serve,
@@ -126,6 +128,7 @@
 	defer rt.mu.Unlock()
 	taken := rt.origins.pending
 	rt.origins.pending = nil
+	rt.origins.reports++
 	if !all {
 		return taken
 	}
@@ -223,10 +226,25 @@
 	}
 }
 
+// restrictVersion restricts the request to the endpoints that may begin or continue its stream. An attempt that
+// may have been reported binds the next ones: other hosts may never hear of a later start, or some of them
+// late, and where the caller takes the stream up the earlier one counts. The caller holds the lock.
+func (a *activeRequest) restrictVersion(request *balance.Request) {
+	switch o := a.origin.Load(); {
+	case o != nil:
+		request.OnlyVersion, request.Version = true, o.Version
+	case a.startReports != 0 && a.startReports != a.origins.reports:
+		request.OnlyVersion, request.Version = true, a.startVersion
+	}
+}
+
 // recordStart records where the stream of the request begins, or goes on, with the chosen
 // endpoint. The caller holds the lock.
 func (a *activeRequest) recordStart(now time.Time, version string) {
 	if a.isResumable() {
+		if a.startReports == 0 || a.startVersion != version {
+			a.startVersion, a.startReports = version, a.origins.reports
+		}
 		a.origins.add(now, origin.Start{Stream: streamKey(a.request.Workspace, a.request.ID), Origin: origin.Origin{Service: a.request.Service, Version: version}})
 	}
 }
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -169,8 +170,10 @@
 	a := &activeRequest{Router: f.Router, request: takenUp("unknown")}
 	g.Expect(a.findOrigin(context.Background())).To(Succeed())
 	f.setVersion(1, "v2", directory.Ready)
-	g.Expect(a.balanceRequest().OnlyVersion).To(BeTrue())
-	g.Expect(a.balanceRequest().Version).To(Equal("v1"))
+	request := a.balanceRequest()
+	a.restrictVersion(&request)
+	g.Expect(request.OnlyVersion).To(BeTrue())
+	g.Expect(request.Version).To(Equal("v1"))
 }
 
 // Guards against streams that are refused at an entry without control hosts although they began there.
@@ -187,6 +190,33 @@
 	g.Expect(f.requests()).To(HaveLen(2))
 }
 
+// Guards against a stream that is taken up at the version of an earlier attempt, which was reported and
+// brought no event, as the report of the attempt that began it is late or lost.
+func TestReportedStartBindsTheNextAttempts(t *testing.T) {
+	for name, refuse := range map[string]endpointHandler{"broken off": streamEvents(5, 1), "not run": refuseNotRun} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var f *testFleet
+			var reported []origin.Start
+			reportsFirst := func(w http.ResponseWriter, r *http.Request) {
+				reported = f.TakeStreamStarts(false)
+				refuse(w, r)
+			}
+			f = newFleet(t, reportsFirst, refuse, streamEvents(5, 0), streamEvents(5, 0))
+			for i, version := range []string{"v1", "v1", "v2", "v1"} {
+				f.setVersion(i, version, directory.Ready)
+			}
+			w := httptest.NewRecorder()
+			r := newRequest(catalog.EventStream, true)
+			r.Route.MaxAttempts = 4
+			g.Expect(f.Serve(context.Background(), w, r)).To(Succeed())
+			g.Expect(w.Body.String()).To(Equal(streamText(5)))
+			g.Expect(reported).To(HaveLen(1))
+			g.Expect(f.requests()).To(Equal([]string{"e0 ", "e1 ", "e3 "}))
+		})
+	}
+}
+
 // Starts are reported only while several versions serve; then the earlier ones are, too.
 func TestStreamStartsAreReportedOnceVersionsMix(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/forward/replacement.go
+++ b/internal/forward/replacement.go
@@ -36,6 +36,9 @@
 		triedEndpoints: slices.Clone(a.triedEndpoints), lastEventID: lastEventID}
 	other.origin.Store(a.origin.Load())
 	request, now := other.balanceRequest(), time.Now()
+	if a.isResumable() {
+		request.OnlyVersion, request.Version = true, a.choice.Version // either attempt may bring the first event
+	}
 	other.mu.Lock()
 	defer other.mu.Unlock()
 	choice, err := other.table.Choose(now, request)
