Begin streams only at versions that a majority has recorded

What callers saw: nothing yet; found while looking for the cause of the reported fault elsewhere.

Cause: an entry begins streams at endpoints as soon as one control host names them. If that host has lost its quorum, the others don't learn of the version. An entry that reaches the others, and not that host, takes such a stream for one of the only version.

Fix: control hosts send with their record how they count (the voters they know, and whether they vote and are not behind). An entry begins a stream at a version once a majority has sent it. What a majority has recorded stays so when hosts are lost. The record is known to an entry before its first configuration, also an empty one. Control hosts of an older build don't say how they count: without another host one of them suffices. Endpoints that name no version, and all while the record is full, take streams as before.

Cost: while control hosts have no quorum, streams that may be taken up don't begin at a version that joins; if no endpoint of another one is left they are refused, not run, after 1 s at most. Other requests are not concerned.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,16 +28,17 @@
 	Parts                []PromptPart // in the order of the prompt
 	ExpectedOutputTokens int
 	BodyBytes            int
-	Urgency              int           // priority at the endpoint, 0 is served first
-	RouteRank            int           // urgency rank of the route, 0 is the most urgent
-	LatencyTarget        time.Duration // for the first event, or for the whole answer without a stream
-	GapTarget            time.Duration // target for the longest pause between events; 0 without a stream
-	Waited               bool          // it was refused and returns at its Retry-After, or has waited its turn here
-	Allowance            float64       // from 0 to 1, how much longer than others it may then wait for its prefill
-	TriedEndpoints       []string      // IDs of endpoints that earlier attempts were sent to
-	OutsideShare         bool          // its workspace takes more than its share, see package share
-	OnlyVersion          bool          // the request continues a stream that Version began
-	Version              string        // of the endpoint's software
+	Urgency              int             // priority at the endpoint, 0 is served first
+	RouteRank            int             // urgency rank of the route, 0 is the most urgent
+	LatencyTarget        time.Duration   // for the first event, or for the whole answer without a stream
+	GapTarget            time.Duration   // target for the longest pause between events; 0 without a stream
+	Waited               bool            // it was refused and returns at its Retry-After, or has waited its turn here
+	Allowance            float64         // from 0 to 1, how much longer than others it may then wait for its prefill
+	TriedEndpoints       []string        // IDs of endpoints that earlier attempts were sent to
+	OutsideShare         bool            // its workspace takes more than its share, see package share
+	OnlyVersion          bool            // the request continues a stream that Version began
+	Version              string          // of the endpoint's software
+	UnrecordedVersions   map[string]bool // at which no stream may begin yet
 
 	urgent bool // set by the Table, see isUrgent
 }
@@ -101,6 +102,7 @@
 	Known        int // endpoints of the service
 	Tried        int
 	OtherVersion int // of another software version than the stream
+	Unrecorded   int // of a version at which no stream may begin yet
 	Draining     int
 	Ejected      int
 	Held         int           // asked for no requests for a time
@@ -113,8 +115,8 @@
 }
 
 func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d of other versions, %d draining, %d ejected, %d held, %d limited, %d full, %d too late (soonest in %d ms)",
-		e.Service, e.Known, e.Tried, e.OtherVersion, e.Draining, e.Ejected, e.Held, e.Limited, e.Full, e.TooLate, e.ShortestWait.Milliseconds())
+	return fmt.Sprintf("no endpoint left for service %s: %d known, %d tried, %d of other versions, %d of versions not recorded, %d draining, %d ejected, %d held, %d limited, %d full, %d too late (soonest in %d ms)",
+		e.Service, e.Known, e.Tried, e.OtherVersion, e.Unrecorded, e.Draining, e.Ejected, e.Held, e.Limited, e.Full, e.TooLate, e.ShortestWait.Milliseconds())
 }
 
 // ReportedLoad is the load that an endpoint reports with an answer.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -103,6 +103,8 @@
 		switch {
 		case r.OnlyVersion && e.Version != r.Version:
 			none.OtherVersion++
+		case r.UnrecordedVersions[e.Version]:
+			none.Unrecorded++
 		case !e.acceptsRequests():
 			none.Draining++
 		case e.held(now):
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// SetServedVersions replaces the software versions that the control hosts have recorded.
+// SetServedVersions replaces the software versions that control hosts have recorded; true is one that a
+// majority has.
 func (e *Entry) SetServedVersions(versions map[origin.Origin]bool) {
 	e.router.SetServedVersions(versions)
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -47,7 +47,7 @@
 	// SetQuarantinedParts receives the prompt parts that must be kept from endpoints.
 	SetQuarantinedParts(parts map[uint64]bool)
 	// SetServedVersions receives the versions that control hosts have recorded, before the first
-	// configuration.
+	// configuration; true is one that a majority has recorded.
 	SetServedVersions(versions map[origin.Origin]bool)
 	// SetEntryCount receives the number of entries among which limits are divided.
 	SetEntryCount(count int)
@@ -94,6 +94,8 @@
 	confirmed       bool // its watch has reported that it is up to date
 	quarantined     []uint64
 	served          []origin.Origin // versions that it has recorded
+	vote            *origin.Vote    // sent with served; nil before, and from a host of an older build
+	counts          bool            // towards a majority, as sent with served
 	entryCount      int             // entries that watch it
 	liveChangedAt   time.Time
 	cancel          context.CancelFunc
@@ -221,7 +223,9 @@
 	if changed {
 		h.live, h.liveChangedAt = live, time.Now()
 		h.confirmed = false
-		f.updateServed()
+		if f.served != nil {
+			f.updateServed()
+		}
 	}
 	f.mu.Unlock()
 	if !changed {
@@ -260,6 +264,10 @@
 	f.updateQuarantine()
 	if event.Served != nil {
 		h.served = servedFromProto(event.Served)
+		if event.Served.Vote != nil {
+			vote := voteFromProto(event.Served.Vote)
+			h.vote, h.counts = &vote, event.Served.Vote.Counts
+		}
 		f.updateServed()
 	}
 	h.documentVersion, h.failureDomain = event.Version, event.FailureDomain
--- a/internal/fleet/served_versions.go
+++ b/internal/fleet/served_versions.go
@@ -102,17 +102,17 @@
 	return true
 }
 
-// servedUpdate returns the recorded versions, nil if a watch has been sent them.
+// servedUpdate returns the recorded versions and how this host counts, nil if a watch has been sent them.
 func (s *Server) servedUpdate(w *watchState) *pb.ServedVersions {
-	view := StateView{Machine: w.machine, UpToDate: w.confirmed}
-	_, _ = s.recordVote(view) // notes that an entry may see the record
+	vote, counts := s.recordVote(StateView{Machine: w.machine, UpToDate: w.confirmed}) // before the record is read
+	vote.Counts = counts
 	record, _ := w.machine.Served()
 	versions := record.Versions()
-	if w.servedSent && slices.Equal(versions, w.served) {
+	if w.servedSent && slices.Equal(versions, w.served) && slices.Equal(vote.Voters, w.voters) && counts == w.counts {
 		return nil
 	}
-	w.servedSent, w.served = true, versions
-	out := &pb.ServedVersions{}
+	w.servedSent, w.served, w.voters, w.counts = true, versions, vote.Voters, counts
+	out := &pb.ServedVersions{Vote: vote}
 	for _, o := range versions {
 		out.Versions = append(out.Versions, &pb.ServedVersion{Service: o.Service, Version: o.Version})
 	}
@@ -127,8 +127,8 @@
 	return versions
 }
 
-// updateServed merges the versions that the live hosts have recorded, without one those of all hosts. The
-// caller holds the lock.
+// updateServed merges the versions that the live hosts have recorded, without one those of all hosts, and
+// tells which a majority has recorded. The caller holds the lock.
 func (f *Follower) updateServed() {
 	merged, anyLive := map[origin.Origin]bool{}, f.anyHostLive()
 	for _, h := range f.hosts {
@@ -136,11 +136,32 @@
 			continue
 		}
 		for _, o := range h.served {
-			merged[o] = true
+			merged[o] = f.served[o] // what a majority has recorded stays so when hosts are lost
 		}
 	}
-	if !maps.Equal(merged, f.served) {
+	for o, byMajority := range merged {
+		merged[o] = byMajority || f.isRecordedByMajority(o)
+	}
+	if f.served == nil || !maps.Equal(merged, f.served) {
 		f.served = merged
 		f.options.Consumer.SetServedVersions(merged)
 	}
 }
+
+// isRecordedByMajority reports whether the last events of a majority of the control hosts name a version. Hosts
+// of an older build don't say how they count; without another host one of them suffices. The caller holds
+// the lock.
+func (f *Follower) isRecordedByMajority(o origin.Origin) bool {
+	var votes []origin.Vote
+	agreeing := map[uint64]bool{}
+	for _, h := range f.hosts {
+		if h.vote == nil {
+			continue
+		}
+		votes = append(votes, *h.vote)
+		if h.counts && slices.Contains(h.served, o) {
+			agreeing[h.vote.Replica] = true
+		}
+	}
+	return len(votes) == 0 || origin.IsMajority(votes, agreeing)
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -270,6 +270,8 @@
 	quarantineSent    bool
 	servedSent        bool
 	served            []origin.Origin
+	voters            []uint64
+	counts            bool
 	quarantined       []uint64
 }
 
--- a/internal/fleet/stream_starts_test.go
+++ b/internal/fleet/stream_starts_test.go
@@ -165,3 +165,44 @@
 	log.applied.Store(8)
 	g.Expect(find().Complete).To(BeFalse())
 }
+
+// Guards against streams that begin at a version which a minority of the control hosts has recorded, and
+// against entries that begin none once they have lost hosts.
+func TestVersionCountsAsRecordedByAMajority(t *testing.T) {
+	g := NewWithT(t)
+	v1, v2 := origin.Origin{Service: "s", Version: "v1"}, origin.Origin{Service: "s", Version: "v2"}
+	hosts := newVoters(t, v1)
+	_, c := startFollowerIn(t, "e", "a", hosts...)
+	served := func() map[origin.Origin]bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.served
+	}
+	record := func(h *controlHost, o origin.Origin) {
+		_, err := h.log.Propose(context.Background(), document.EncodeServedCommand(origin.Change{Origin: o, Presence: origin.Serving}))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(served, "3s").Should(Equal(map[origin.Origin]bool{v1: true}))
+	record(hosts[0], v2)
+	g.Eventually(served, "3s").Should(Equal(map[origin.Origin]bool{v1: true, v2: false}))
+	g.Consistently(served, "500ms").Should(Equal(map[origin.Origin]bool{v1: true, v2: false}))
+	record(hosts[1], v2)
+	g.Eventually(served, "3s").Should(Equal(map[origin.Origin]bool{v1: true, v2: true}))
+	for _, h := range hosts[1:] {
+		h.http.CloseClientConnections()
+		h.http.Close()
+	}
+	g.Consistently(served, "2s").Should(Equal(map[origin.Origin]bool{v1: true, v2: true}))
+}
+
+// Guards against streams that begin, right after the first start of a system, at a version that is not recorded.
+func TestEmptyRecordIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	_, c := startFollowerIn(t, "e", "a", newControlHost(t, "a"))
+	served := func() map[origin.Origin]bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.served
+	}
+	g.Eventually(served, "3s").Should(And(Not(BeNil()), BeEmpty()))
+}
--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -260,10 +260,11 @@
 
 // endpointWait returns how long to wait for an endpoint after err, where deferral is how long the
 // request waits for its turn. If no endpoint of
-// the service is known, this entry host may not have received the directory yet.
+// the service is known, this entry host may not have received the directory yet; a version that joins
+// is recorded soon.
 func (a *activeRequest) endpointWait(err error, deferral time.Duration) time.Duration {
 	var noEndpoint *balance.NoEndpointError
-	if errors.As(err, &noEndpoint) && noEndpoint.Known == 0 {
+	if errors.As(err, &noEndpoint) && noEndpoint.Known == noEndpoint.Unrecorded {
 		return min(time.Until(a.request.Deadline)/discoveryWaitDivisor, maxDiscoveryWait)
 	}
 	if noEndpoint != nil && noEndpoint.OtherVersion == noEndpoint.Known {
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -115,6 +115,7 @@
 }
 
 // SetServedVersions replaces the versions that control hosts have recorded: they serve, or did so short ago.
+// true is one that a majority has recorded.
 func (rt *Router) SetServedVersions(versions map[origin.Origin]bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
@@ -235,6 +236,8 @@
 		request.OnlyVersion, request.Version = true, o.Version
 	case a.startReports != 0 && a.startReports != a.origins.reports:
 		request.OnlyVersion, request.Version = true, a.startVersion
+	case a.isResumable():
+		request.UnrecordedVersions = a.origins.versions.Unrecorded(a.request.Service)
 	}
 }
 
--- a/internal/origin/majority.go
+++ b/internal/origin/majority.go
@@ -7,9 +7,9 @@
 	Applied uint64   // index of the last entry of the log that the host has applied
 }
 
-// isMajority reports whether the agreeing replicas are more than half of the voters. The newest
+// IsMajority reports whether the agreeing replicas are more than half of the voters. The newest
 // membership among the votes counts.
-func isMajority(votes []Vote, agreeing map[uint64]bool) bool {
+func IsMajority(votes []Vote, agreeing map[uint64]bool) bool {
 	var newest Vote
 	for _, v := range votes {
 		if len(newest.Voters) == 0 || v.Applied > newest.Applied {
@@ -64,5 +64,5 @@
 	if a.Complete {
 		f.voters[a.Vote.Replica] = true
 	}
-	f.Complete = isMajority(f.votes, f.voters)
+	f.Complete = IsMajority(f.votes, f.voters)
 }
--- a/internal/origin/record_test.go
+++ b/internal/origin/record_test.go
@@ -134,3 +134,25 @@
 	v.SetRecorded(now.Add(goneTTL+3*time.Second), map[Origin]bool{v1: true, v2: true})
 	g.Expect(v.Mixed(now.Add(goneTTL+4*time.Second), "s")).To(BeTrue(), "recorded again")
 }
+
+// Guards against streams that begin at a version that other hosts don't know, and against versions at which
+// none may ever begin: without a name, without a record, or without room in it.
+func TestStreamsBeginOnlyAtRecordedVersions(t *testing.T) {
+	g := NewWithT(t)
+	v := NewVersions()
+	v.Update(start, "a", v1, false)
+	v.Update(start, "b", v2, false)
+	v.Update(start, "c", Origin{Service: "s"}, false)
+	g.Expect(v.Unrecorded("s")).To(BeEmpty(), "control hosts of an older build keep no record")
+	v.SetRecorded(start, map[Origin]bool{})
+	g.Expect(v.Unrecorded("s")).To(Equal(map[string]bool{"v1": true, "v2": true}))
+	v.SetRecorded(start, map[Origin]bool{v1: true, v2: false})
+	g.Expect(v.Unrecorded("s")).To(Equal(map[string]bool{"v2": true}))
+	g.Expect(v.Unrecorded("other")).To(BeEmpty())
+	full := map[Origin]bool{}
+	for i := range MaxRecorded {
+		full[Origin{Service: "other", Version: fmt.Sprint(i)}] = true
+	}
+	v.SetRecorded(start, full)
+	g.Expect(v.Unrecorded("s")).To(BeEmpty())
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -11,7 +11,7 @@
 	byEndpoint map[string]Origin // by endpoint ID
 	endpoints  map[Origin]int    // number of endpoints
 	goneAt     map[Origin]time.Time
-	recorded   map[Origin]bool // by the control hosts
+	recorded   map[Origin]bool // by control hosts; true if by a majority; nil if not known
 }
 
 // NewVersions returns a tracker without endpoints.
@@ -39,13 +39,13 @@
 	v.endpoints[o]++
 }
 
-// SetRecorded replaces the versions that the control hosts have recorded. One without an endpoint may
-// have gone just before.
+// SetRecorded replaces the versions that control hosts have recorded; true is one that a majority has. One
+// without an endpoint may have gone just before.
 func (v *Versions) SetRecorded(now time.Time, recorded map[Origin]bool) {
 	known := v.recorded
 	v.recorded = recorded
 	for o := range recorded {
-		if !known[o] && v.endpoints[o] == 0 {
+		if _, was := known[o]; !was && v.endpoints[o] == 0 {
 			v.goneAt[o] = now
 		}
 	}
@@ -78,3 +78,34 @@
 
 // Mixed reports whether endpoints of several versions serve a service, or did so short ago.
 func (v *Versions) Mixed(now time.Time, service string) bool { return len(v.Known(now, service)) > 1 }
+
+// Unrecorded returns the versions of a service at which no stream may begin yet, nil for none: a majority of
+// the control hosts must have recorded them, so that each majority names them to an entry where a stream is
+// taken up. Endpoints that name no version can't be recorded, nor can a version while the record is full.
+func (v *Versions) Unrecorded(service string) map[string]bool {
+	if v.recorded == nil || v.isRecordFull() {
+		return nil
+	}
+	var unrecorded map[string]bool
+	for o := range v.endpoints {
+		if o.Service != service || o.Version == "" || v.recorded[o] {
+			continue
+		}
+		if unrecorded == nil {
+			unrecorded = map[string]bool{}
+		}
+		unrecorded[o.Version] = true
+	}
+	return unrecorded
+}
+
+// isRecordFull reports whether a majority has recorded all that there is room for.
+func (v *Versions) isRecordFull() bool {
+	count := 0
+	for _, byMajority := range v.recorded {
+		if byMajority {
+			count++
+		}
+	}
+	return count >= MaxRecorded
+}
