--- a/internal/fleet/election_test.go
+++ b/internal/fleet/election_test.go
@@ -12,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
-	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 )
@@ -39,10 +38,10 @@
 	}
 	var hosts []*replicatedHost
 	for i, l := range listeners {
-		machine, url := document.New(), members[i].URL
+		url := members[i].URL
 		log := NewReplicaSupervisor(replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: t.TempDir(), SelfURL: url, InitialMembers: members, Bootstrap: true,
-			MinVoters: count, StateMachine: machine, HTTPClient: &http.Client{Transport: &http.Transport{}}, Logger: discardLogger})
-		h := &replicatedHost{log: log, url: url, Server: NewServer(ServerOptions{Log: log, StateMachine: machine, FailureDomain: "a", SelfURL: url, MinVoters: count, HTTPClient: http.DefaultClient, Logger: discardLogger})}
+			MinVoters: count, HTTPClient: &http.Client{Transport: &http.Transport{}}, Logger: discardLogger})
+		h := &replicatedHost{log: log, url: url, Server: NewServer(ServerOptions{Log: log, State: log, FailureDomain: "a", SelfURL: url, MinVoters: count, HTTPClient: http.DefaultClient, Logger: discardLogger})}
 		path, handler := h.Handler()
 		mux := http.NewServeMux()
 		mux.Handle(path, handler)
@@ -82,11 +81,15 @@
 	go func() { defer close(done); _ = f.Run(ctx) }()
 	reported := endpoint("e0", 1, directory.Ready)
 	reported.Version = "v1"
-	hosts[0].UpdateEndpoint(reported)
+	g.Expect(hosts[0].UpdateEndpoint(ctx, reported)).To(Succeed())
 	service, v1 := reported.Service, origin.Origin{Service: reported.Service, Version: reported.Version}
 	allVoteAndHaveRecorded := func() bool {
 		for _, h := range hosts {
-			record, _ := h.stateMachine.Served()
+			view := h.log.State()
+			if !view.UpToDate {
+				return false
+			}
+			record, _ := view.Machine.Served()
 			members := h.log.Status().Members
 			if record.Presence(v1) != origin.Serving || slices.ContainsFunc(members, func(m replica.Member) bool { return !m.IsVoter }) {
 				return false
