--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -171,19 +171,33 @@
 }
 
 func (t *groupTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !t.reaches(r) {
+		return t.fail(r)
+	}
+	response, err := t.base.RoundTrip(r)
+	if err == nil && !t.reaches(r) { // cut off during the call
+		_ = response.Body.Close()
+		return t.fail(r)
+	}
+	return response, err
+}
+
+// reaches reports whether the host may call the one that a request addresses.
+func (t *groupTransport) reaches(r *http.Request) bool {
 	g := t.from.group
 	to := slices.IndexFunc(g.hosts, func(h *groupHost) bool { return strings.HasSuffix(h.url, r.URL.Host) })
 	g.mu.Lock()
-	unreachable := g.unreachable[[2]int{t.from.index, to}]
-	g.mu.Unlock()
-	switch {
-	case unreachable && g.refused.Load():
+	defer g.mu.Unlock()
+	return !g.unreachable[[2]int{t.from.index, to}]
+}
+
+// fail returns the error of a call to a host that is not reached.
+func (t *groupTransport) fail(r *http.Request) (*http.Response, error) {
+	if t.from.group.refused.Load() {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	case unreachable:
-		<-r.Context().Done()
-		return nil, r.Context().Err()
 	}
-	return t.base.RoundTrip(r)
+	<-r.Context().Done()
+	return nil, r.Context().Err()
 }
 
 // depart reports to a host that endpoint x leaves, in one of two ways.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -365,7 +365,7 @@
 		members := []replica.Member{{ID: 1, IsVoter: true}}
 		for i, other := range hosts {
 			if other != h {
-				members = append(members, replica.Member{ID: uint64(i + 2), URL: other.http.URL})
+				members = append(members, replica.Member{ID: uint64(i + 2), URL: other.http.URL, IsVoter: true})
 			}
 		}
 		h.log.members.Store(&members)
