Give new callers' connections an idle and a header timeout

A connection on which nothing, or a part of a header, had ever arrived was kept for good: an http.Server without timeouts of its own sets no deadline before the first request. Each takes one of the connections that the entry accepts; once all are taken, callers get neither an answer nor a refusal.

--- a/internal/entry/drain_listener.go
+++ b/internal/entry/drain_listener.go
@@ -73,6 +73,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns[c] = true
+	_ = c.SetReadDeadline(time.Time{}) // an http.Server without timeouts sets none before the first request
 	return c, nil
 }
 
@@ -233,6 +234,8 @@
 			c.crossed = c.crossed || crossed
 		case idle && n > 0:
 			c.phase, c.headerStartedAt = phaseReadingHeader, time.Now()
+			// Fails only on a closed connection.
+			_ = c.Conn.SetReadDeadline(c.headerStartedAt.Add(c.listener.limits().HeaderTimeout))
 		}
 		c.mu.Unlock()
 		if crossed {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -267,6 +267,31 @@
 	})
 }
 
+// Guards against new connections on which nothing, or only a part of a header, arrives and which are kept
+// for good: each takes one of the connections that the entry accepts.
+func TestNewConnectionsHaveTimeouts(t *testing.T) {
+	for name, c := range map[string]struct {
+		beginning string
+		limits    catalog.Limits
+	}{
+		"nothing":          {"", catalog.Limits{HeaderTimeout: time.Minute, IdleTimeout: 5 * time.Second}},
+		"part of a header": {"GET / HTTP/1.1\r\nHo", catalog.Limits{HeaderTimeout: 4 * time.Second, IdleTimeout: time.Minute}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				_, listener := serveOnPipe(t, io.Discard, c.limits)
+				conn := listener.dial()
+				began := time.Now()
+				_, _ = io.WriteString(conn, c.beginning)
+				_, err := io.ReadAll(conn)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(time.Since(began)).To(BeNumerically("~", 5*time.Second+500*time.Millisecond, 600*time.Millisecond))
+			})
+		})
+	}
+}
+
 // A stop must also end within a short grace period.
 func TestShortGracePeriodIsNotExceeded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
