Limit what a replacement may do beside the silent attempt

A replacement of a stream is of the same version and recorded only when it is used. An event is written only while its attempt holds the request, and a replacement takes over under the same lock. Two endpoints work on one stream for 0.3 s at most: refusals come sooner. A replacement that is silent gives way where the route allows a third run, its endpoint isn't asked again, and its panic ends its attempt alone.

--- a/internal/forward/active_request.go
+++ b/internal/forward/active_request.go
@@ -173,6 +173,9 @@
 	a.attemptState = r.attemptState
 	a.mu.Lock()
 	a.triedEndpoints = append(a.triedEndpoints, r.choice.ID)
+	if r.err == nil {
+		a.recordStart(time.Now(), r.choice.Version) // only now: an abandoned one brings no event
+	}
 	a.mu.Unlock()
 	if r.err != nil {
 		a.attempts.Add(r.attempts)
@@ -232,6 +235,7 @@
 		}
 		if err == nil {
 			a.begin(now, request, choice)
+			a.recordStart(now, choice.Version)
 		}
 		a.mu.Unlock()
 		if err == nil {
@@ -247,7 +251,6 @@
 func (a *activeRequest) begin(now time.Time, request balance.Request, choice balance.Choice) {
 	a.attemptState = attemptState{choice: choice, attempt: a.table.RecordSent(now, request, choice), sentAt: now}
 	a.triedEndpoints = append(a.triedEndpoints, choice.ID)
-	a.recordStart(now, choice.Version)
 }
 
 // balanceRequest returns the properties of the request that decide on its endpoint, without restrictVersion.
--- a/internal/forward/replacement.go
+++ b/internal/forward/replacement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -9,13 +10,17 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/balance"
+	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
 	"github.com/trefoilkeel/trefoilkeel/internal/retry"
 	"github.com/trefoilkeel/trefoilkeel/internal/upstream"
 )
 
+// maxStreamOverlap limits how long two endpoints work on one stream: refusals come sooner.
+const maxStreamOverlap = 300 * time.Millisecond
+
 // replacement is an attempt at another endpoint that is made while the endpoint of the present attempt
-// is silent. The present attempt goes on until the replacement's response has begun: the silent endpoint
-// may only have paused, and the other one may refuse.
+// is silent. The present attempt goes on until the replacement's response has begun, or for
+// maxStreamOverlap: the silent endpoint may only have paused, and the other one may refuse.
 type replacement struct {
 	*activeRequest // the state of this attempt alone
 	ctx            context.Context
@@ -51,9 +56,18 @@
 	return r
 }
 
-// open sends the request and waits until its response has begun.
+// open sends the request and waits until its response has begun. It runs outside of the request's
+// goroutine, where a panic would end the process.
 func (r *replacement) open() {
 	defer close(r.done)
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.options.Logger.Error("replacement panicked", "request", r.request.ID, "cause", cause, "stack", string(debug.Stack()))
+			r.recordEnd(balance.Failed)
+			r.attempts.Runs = max(r.attempts.Runs, 1)
+			r.outcome, r.err = retry.Unknown, errors.Newf("panic: %v", cause)
+		}
+	}()
 	r.exchange, r.outcome, r.err = r.openAttempt(r.ctx)
 	if r.err != nil || isSuccess(r.exchange.Response.StatusCode) {
 		return
@@ -88,12 +102,14 @@
 	mu          sync.Mutex
 	timer       *time.Timer // nil if the attempt has no timeout
 	timeout     time.Duration
+	due         time.Time // when the timer is to fire; an earlier call is one that the last reset overtook
+	writing     bool      // an event of the attempt is being written to the caller
 	lastEventID string
 	stopped     bool
 	attempts    retry.Attempts // of the request, with the attempt that is watched and its replacements
 	failed      retry.Attempts // counts the replacements that failed
 	pending     *replacement
-	takenOver   bool // by pending, whose response has begun
+	takenOver   bool // by pending
 }
 
 // watchSilence watches the attempt from now on. A timeout of 0 means no limit. attempts counts the
@@ -104,56 +120,79 @@
 	if timeout > 0 {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.due = time.Now().Add(timeout)
 		w.timer = time.AfterFunc(timeout, w.replace)
 	}
 	return w
 }
 
+// reset restarts the timer. w.mu must be held.
+func (w *silenceWatch) reset(timeout time.Duration) {
+	w.due = time.Now().Add(timeout)
+	w.timer.Reset(timeout)
+}
+
+// claim is called before an event of the attempt is written. It reports whether the caller's stream still
+// goes on with this attempt; if so, its replacement is cancelled, and none starts until progressed is called.
+func (w *silenceWatch) claim() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.takenOver {
+		return false
+	}
+	w.writing = true
+	if w.pending != nil {
+		w.pending.cancel(&supersededError{})
+	}
+	return true
+}
+
 // progressed restarts the timeout: the endpoint has sent an event. lastEventID is that of the last event
 // that the caller has.
 func (w *silenceWatch) progressed(timeout time.Duration, lastEventID string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.writing = false
 	if w.timer == nil || w.takenOver {
 		return
 	}
 	w.timeout, w.lastEventID = timeout, lastEventID
-	if w.pending != nil {
-		w.pending.cancel(&supersededError{})
-		return
+	if w.pending == nil {
+		w.reset(timeout)
 	}
-	w.timer.Reset(timeout)
 }
 
 // replace starts a replacement, and cancels the attempt that is watched once the replacement's response
 // has begun.
 func (w *silenceWatch) replace() {
 	w.mu.Lock()
-	if w.stopped {
+	if w.stopped || w.pending != nil || time.Now().Before(w.due) {
 		w.mu.Unlock()
 		return
 	}
 	timeout := w.timeout
 	w.attempts.TimeLeft = time.Until(w.attempt.request.Deadline)
 	var r *replacement
-	if w.attempts.Decide(retry.Unknown) == retry.TryAnother {
+	if !w.writing && w.attempts.Decide(retry.Unknown) == retry.TryAnother {
 		r = w.attempt.newReplacement(w.ctx, w.lastEventID)
 	}
 	if w.pending = r; r == nil {
-		w.timer.Reset(timeout)
+		w.reset(timeout)
 		w.mu.Unlock()
 		return
 	}
+	hasThird := w.attempts.Runs+1 < w.attempts.MaxRuns
 	w.mu.Unlock()
-	r.open()
+	w.open(r, hasThird, timeout)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.stopped:
 		return // the attempt has ended, and its request uses the replacement
+	case w.takenOver:
+		return // the attempt is about to end
 	case r.err == nil && r.ctx.Err() == nil:
-		w.takenOver = true
-		w.cancelAttempt(&responseTimeoutError{after: timeout})
+		w.takeOver(timeout)
 		return
 	case r.err == nil:
 		r.abandon()
@@ -162,7 +201,46 @@
 	w.pending = nil
 	w.attempts.Add(r.attempts)
 	w.failed.Add(r.attempts)
-	w.timer.Reset(w.timeout)
+	w.attempt.mu.Lock()
+	w.attempt.triedEndpoints = append(w.attempt.triedEndpoints, r.choice.ID)
+	w.attempt.mu.Unlock()
+	var silent *responseTimeoutError
+	if errors.As(r.err, &silent) {
+		w.reset(0)
+		return
+	}
+	w.reset(w.timeout)
+}
+
+// open opens a replacement. A replacement that is silent too gives way to another one if the route allows a
+// third run.
+func (w *silenceWatch) open(r *replacement, hasThird bool, timeout time.Duration) {
+	if hasThird {
+		limit := max(firstResponseTimeoutFactor*max(r.request.Route.LatencyTarget, r.choice.ExpectedWait), minFirstResponseTimeout)
+		silent := time.AfterFunc(limit, func() { r.cancel(&responseTimeoutError{after: limit}) })
+		defer silent.Stop()
+	}
+	if r.request.Route.Kind == catalog.EventStream {
+		overlap := time.AfterFunc(maxStreamOverlap, func() { w.endOverlap(r, timeout) })
+		defer overlap.Stop()
+	}
+	r.open()
+}
+
+// endOverlap leaves the request to a replacement that may still begin to answer.
+func (w *silenceWatch) endOverlap(r *replacement, timeout time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && !w.writing && w.pending == r && r.ctx.Err() == nil {
+		w.takeOver(timeout)
+	}
+}
+
+// takeOver ends the attempt that is watched; the request goes on with the pending replacement. w.mu must
+// be held.
+func (w *silenceWatch) takeOver(timeout time.Duration) {
+	w.takenOver = true
+	w.cancelAttempt(&responseTimeoutError{after: timeout})
 }
 
 // stop ends the watch. It returns the replacement that has begun or may still begin to answer, nil if
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -156,6 +156,9 @@
 		if !blank || !hasFields && a.writtenStatus == 0 {
 			continue // comments before the first event are held back: another attempt may follow
 		}
+		if hasFields && !watch.claim() {
+			return a.endStream(ctx, context.Cause(ctx), true, x)
+		}
 		if err := a.forwardEvent(x, event, flusher, hasFields); err != nil {
 			a.recordEnd(balance.Cancelled)
 			return retry.Unknown, err
