--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -312,3 +312,31 @@
 	g.Expect(err.(*forward.RequestError).RetryAfter).To(BeNumerically(">", 0))
 	g.Expect(e.Ready()).To(BeFalse())
 }
+
+// A request that is still running when a stopping entry ends must get an answer, not a bare close.
+func TestRequestAtTheEndOfTheGracePeriodIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	e := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = e.ServeCallers(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select { // stands for an endpoint at work
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusGatewayTimeout)
+			case <-time.After(5 * time.Second):
+			}
+		}), 2*time.Second, slog.New(slog.DiscardHandler))
+	}()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	<-ended
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -381,3 +381,47 @@
 	f.options.Dialect = panickyDialect{}
 	g.Expect(f.Serve(context.Background(), w, newRequest(catalog.EventStream, true))).To(Succeed())
 }
+
+// An error response of the replacement must reach the caller if the silent endpoint fails.
+func TestErrorResponseOfAReplacementReachesTheCaller(t *testing.T) {
+	for name, first := range map[string]endpointHandler{
+		"breaks off": func(http.ResponseWriter, *http.Request) {
+			time.Sleep(1200 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		},
+		"is silent": silentUntilLeft,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f, w := newFleet(t, first, internalError), httptest.NewRecorder()
+			started := time.Now()
+			err := f.Serve(context.Background(), w, newRequest(catalog.Idempotent, false))
+			t.Log(err, time.Since(started))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(w.Code).To(Equal(http.StatusInternalServerError))
+		})
+	}
+}
+
+// The first event after a pause, and a break right after it, must not cost the stream.
+func TestStreamOutlivesABreakAfterAPause(t *testing.T) {
+	g := NewWithT(t)
+	var e1 atomic.Int32
+	f, w := newFleet(t, func(rw http.ResponseWriter, r *http.Request) {
+		streamEvents(1, 0)(rw, r)
+		time.Sleep(1200 * time.Millisecond)
+		_, _ = io.WriteString(rw, "id: 2\ndata: 2\n\n")
+		_ = http.NewResponseController(rw).Flush()
+		time.Sleep(200 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}, func(rw http.ResponseWriter, r *http.Request) {
+		if e1.Add(1) == 1 {
+			silentUntilLeft(rw, r)
+			return
+		}
+		streamEvents(3, 0)(rw, r)
+	}, streamEvents(3, 0)), httptest.NewRecorder()
+	err := f.Serve(context.Background(), w, newRequest(catalog.EventStream, true))
+	t.Log(err, f.requests(), w.Body.String())
+	g.Expect(err).NotTo(HaveOccurred())
+}
