--- a/internal/entry/panics_test.go
+++ b/internal/entry/panics_test.go
@@ -26,8 +26,7 @@
 				_, _ = io.WriteString(w, "beginning")
 				_ = http.NewResponseController(w).Flush()
 			}
-			var none map[string]int
-			none["x"]++
+			panic("odd request")
 		})
 		server := httptest.NewServer(e.withPanicResponse(handler))
 		response, err := http.Get(server.URL)
