--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -85,7 +85,7 @@
 	shownIndex  uint64 // highest applied index of the log that an entry may have seen
 
 	storingQuarantine atomic.Bool   // one at a time
-	announcedVersion  atomic.Uint64 // the highest version of a document that a watch was told
+	announcedVersion  atomic.Uint64 // the highest version of a document that was sent on a watch
 }
 
 // ServerOptions configures a Server.
@@ -386,7 +386,7 @@
 	return out, s.changed
 }
 
-// announce records a version of the document that a watch is told.
+// announce records a version of the document that is sent on a watch.
 func (s *Server) announce(version uint64) {
 	for known := s.announcedVersion.Load(); known < version; known = s.announcedVersion.Load() {
 		if s.announcedVersion.CompareAndSwap(known, version) {
@@ -395,7 +395,7 @@
 	}
 }
 
-// Document returns the newest document that this host has applied, unless it told watches of a newer one.
+// Document returns the newest document that this host has applied, unless it has sent the version of a newer one on a watch.
 func (s *Server) Document(context.Context, *connect.Request[pb.DocumentRequest]) (*connect.Response[pb.DocumentResponse], error) {
 	machine := s.state.State().Machine
 	if machine == nil {
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -73,7 +73,7 @@
 }
 
 // A late response of a request that may be repeated must reach its caller if the endpoint that was to
-// replace the late one fails. The caller was told that the outcome is unknown.
+// replace the late one fails. The caller got 502, outcome unknown.
 func TestLateResponseOutlivesAFailedReplacement(t *testing.T) {
 	late := func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(minFirstResponseTimeout + 300*time.Millisecond)
