--- a/internal/forward/replacement.go
+++ b/internal/forward/replacement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -65,7 +66,7 @@
 			r.options.Logger.Error("replacement panicked", "request", r.request.ID, "cause", cause, "stack", string(debug.Stack()))
 			r.recordEnd(balance.Failed)
 			r.attempts.Runs = max(r.attempts.Runs, 1)
-			r.outcome, r.err = retry.Unknown, errors.Newf("panic: %v", cause)
+			r.outcome, r.err = retry.Unknown, errors.WithStack(&panicError{Cause: cause})
 		}
 	}()
 	r.exchange, r.outcome, r.err = r.openAttempt(r.ctx)
@@ -77,6 +78,13 @@
 	r.outcome, r.err = retry.Errored, errors.WithStack(&endpointStatusError{Status: r.exchange.Response.StatusCode})
 }
 
+// panicError reports that the attempt of a replacement panicked.
+type panicError struct {
+	Cause any
+}
+
+func (e *panicError) Error() string { return fmt.Sprint("panic: ", e.Cause) }
+
 // supersededError is the cancellation cause of a replacement that is not needed any more.
 type supersededError struct{}
 
