Log and count what keeps a data folder closed

Where changes stay refused after full disks, operators could not tell a folder that doesn't open from a replica that doesn't end, or from members that wait for a majority: the only line comes once everything has ended, and members left none.

--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
@@ -70,12 +71,17 @@
 // Run runs the replica, and reopens it after each failure, until ctx ends.
 func (s *ReplicaSupervisor) Run(ctx context.Context) error {
 	delay := minReopenDelay
+	closedAt := time.Now()
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := s.runOnce(ctx)
+		opened, err := s.runOnce(ctx, closedAt)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if opened {
+			closedAt = time.Now()
+		}
+		s.countFailure()
 		if time.Since(began) > maxReopenDelay {
 			delay = minReopenDelay
 		}
@@ -88,8 +94,23 @@
 	return nil
 }
 
-// runOnce opens the replica and runs it until it fails.
-func (s *ReplicaSupervisor) runOnce(ctx context.Context) error {
+// countFailure counts a failure of the data folder.
+func (s *ReplicaSupervisor) countFailure() {
+	if s.options.Metrics != nil {
+		s.options.Metrics.AddToCounter(metrics.LogFailures, 1)
+	}
+}
+
+// setOpen publishes whether the data folder is open.
+func (s *ReplicaSupervisor) setOpen(open int64) {
+	if s.options.Metrics != nil {
+		s.options.Metrics.SetGauge(metrics.LogOpen, open)
+	}
+}
+
+// runOnce opens the replica and runs it until it fails. It reports whether the data folder was opened, which was closed
+// at closedAt.
+func (s *ReplicaSupervisor) runOnce(ctx context.Context, closedAt time.Time) (opened bool, err error) {
 	options := s.options
 	options.InitialMembers = *s.joinMembers.Load()
 	var restored *document.StateMachine // by Open
@@ -107,8 +128,10 @@
 	}
 	r, err := replica.Open(options)
 	if err != nil {
-		return err
+		return false, err
 	}
+	s.logger.Info("data folder open", "folder", s.options.DataDir, "closed_ms", time.Since(closedAt).Milliseconds())
+	s.setOpen(1)
 	_, handler := r.Handler()
 	ctx, cancel := context.WithCancel(ctx)
 	var confirms sync.WaitGroup
@@ -127,8 +150,9 @@
 		cancel()
 		confirms.Wait()
 		s.publish(opening{})
+		s.setOpen(0)
 	}()
-	return r.Run(ctx)
+	return true, r.Run(ctx)
 }
 
 // confirm marks an opening as up to date once its read barrier has succeeded.
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,7 @@
 			return nil
 		}
 		if err := r.writeJournal(job); err != nil {
+			r.logger.Error("journal not written, closing the data folder", "id", r.options.ID, "error", err)
 			return err
 		}
 		if err := r.journalDone.PutWait(ctx, job); err != nil {
@@ -213,6 +215,7 @@
 func (l *nodeLoop) publishNodeStatus() {
 	nodeStatus := l.node.Status()
 	old := l.nodeStatus.Swap(&nodeStatus)
+	l.logMembers(old.Membership.Members, nodeStatus.Membership.Members)
 	if old.Term == nodeStatus.Term && old.Role == nodeStatus.Role && old.LeaderID == nodeStatus.LeaderID &&
 		old.IsVoter == nodeStatus.IsVoter && len(old.BootstrapBlockers) == len(nodeStatus.BootstrapBlockers) {
 		return
@@ -220,3 +223,19 @@
 	l.logger.Info("replica changed", "id", l.options.ID, "term", nodeStatus.Term, "leader", nodeStatus.LeaderID,
 		"leading", nodeStatus.Role == consensus.Leader, "voter", nodeStatus.IsVoter, "missing", nodeStatus.BootstrapBlockers)
 }
+
+// logMembers logs a change of the members, which are the newest ones in the log, committed or not.
+func (l *nodeLoop) logMembers(before, after []consensus.Member) {
+	if slices.Equal(before, after) {
+		return
+	}
+	var voters, learners []uint64
+	for _, m := range after {
+		if m.IsVoter {
+			voters = append(voters, m.ID)
+		} else {
+			learners = append(learners, m.ID)
+		}
+	}
+	l.logger.Info("members changed", "id", l.options.ID, "voters", voters, "learners", learners)
+}
