--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strconv"
@@ -169,19 +170,25 @@
 
 // Guards against a host with an empty data folder that stays out for good since its disk was full at first.
 func TestNewHostsVoteOnceTheirDisksHaveRoom(t *testing.T) {
+	const childVariable = "NEW_HOSTS_TEST_CHILD"
+	if os.Getenv(childVariable) == "" { // the limit is for all files of a process
+		command := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+		command.Env = append(os.Environ(), childVariable+"=1")
+		if out, err := command.CombinedOutput(); err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
+		return
+	}
 	g := NewWithT(t)
 	signal.Ignore(syscall.SIGXFSZ)
-	defer signal.Reset(syscall.SIGXFSZ)
 	var limit syscall.Rlimit
 	g.Expect(syscall.Getrlimit(syscall.RLIMIT_FSIZE, &limit)).To(Succeed())
 	g.Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 100, Max: limit.Max})).To(Succeed())
-	restore := sync.OnceValue(func() error { return syscall.Setrlimit(syscall.RLIMIT_FSIZE, &limit) })
-	defer restore()
 	hosts := startLogHosts(t, 3)
 	for _, h := range hosts {
 		g.Eventually(func() ([]os.DirEntry, error) { return os.ReadDir(h.folder) }, reopenTimeout, "5ms").ShouldNot(BeEmpty(), "an opening began")
 	}
-	g.Expect(restore()).To(Succeed())
+	g.Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &limit)).To(Succeed())
 	for _, h := range hosts {
 		g.Eventually(func() bool { return h.Status().IsVoter }, reopenTimeout, "20ms").Should(BeTrue())
 	}
--- a/internal/journal/check.go
+++ b/internal/journal/check.go
@@ -53,13 +53,10 @@
 	return nil
 }
 
-// verifyFile reads and verifies every record of an existing file without writing to
+// verifyFile reads and verifies every record of the file without writing to
 // it. It returns the stored state and the size of the snapshot and the entries. bbolt
 // faults or panics on corrupt pages; verifyFile returns that as a *CorruptError.
 func verifyFile(path string) (stored consensus.PersistedState, bytesRead int64, err error) {
-	if _, err := os.Stat(path); os.IsNotExist(err) {
-		return stored, 0, nil
-	}
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: true})
 	if err != nil {
@@ -196,14 +193,11 @@
 	maxPageSizeBytes   = 64 << 10
 )
 
-// checkMetaPages verifies both meta pages and the size of an existing file. If one
+// checkMetaPages verifies both meta pages and the size of the file. If one
 // meta page is corrupt, bbolt would silently use the older one, which may lack
 // synced writes.
 func checkMetaPages(path string) error {
 	file, err := os.Open(path)
-	if os.IsNotExist(err) {
-		return nil
-	}
 	if err != nil {
 		return &FileError{Path: path, Cause: err}
 	}
--- a/internal/journal/creation_test.go
+++ b/internal/journal/creation_test.go
@@ -2,47 +2,82 @@
 
 import (
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
+	"strings"
 	"syscall"
+	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// withFileSizeLimit calls f while no file of this process may be longer than a limit, as on a full disk: writes
-// are cut at the limit, and the next one fails.
-func withFileSizeLimit(limitBytes uint64, f func()) {
+// limitFileSizes keeps files of this process from growing beyond a limit, as on a full disk: a write is cut at the
+// limit, and the next one fails. The result ends that.
+func limitFileSizes(g *WithT, limitBytes uint64) (end func()) {
 	signal.Ignore(syscall.SIGXFSZ)
-	defer signal.Reset(syscall.SIGXFSZ)
 	var before syscall.Rlimit
-	Expect(syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
-	defer func() { Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed()) }()
-	Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: limitBytes, Max: before.Max})).To(Succeed())
-	f()
+	g.Expect(syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
+	g.Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: limitBytes, Max: before.Max})).To(Succeed())
+	return func() { g.Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed()) }
 }
 
-var _ = Describe("the creation of a journal", func() {
-	// Guards against a data folder that never opens again since the disk was full at its first opening.
-	DescribeTable("succeeds once a full disk has room", func(roomBytes uint64) {
-		dir := GinkgoT().TempDir()
-		withFileSizeLimit(roomBytes, func() {
-			for range 2 {
-				_, _, err := reopen(dir)
-				Expect(err).To(BeAssignableToTypeOf(&FileError{}))
-			}
-		})
+// Guards against a data folder that never opens again since the disk was full at its first opening.
+func TestJournalIsCreatedOnceAFullDiskHasRoom(t *testing.T) {
+	const childVariable = "JOURNAL_TEST_CHILD"
+	if os.Getenv(childVariable) == "" { // the limit is for all files of a process
+		command := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+		command.Env = append(os.Environ(), childVariable+"=1")
+		if out, err := command.CombinedOutput(); err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
+		return
+	}
+	page := uint64(os.Getpagesize())
+	for _, roomBytes := range []uint64{0, 100, page, 4 * page, 4*page + 3000, 8 * page} {
+		g, dir := NewWithT(t), filepath.Join(t.TempDir(), "data", "log")
+		end := limitFileSizes(g, roomBytes)
+		for range 2 {
+			_, _, err := reopen(dir)
+			g.Expect(err).To(BeAssignableToTypeOf(&FileError{}), "%d bytes of room", roomBytes)
+		}
+		end()
 		_, created, err := reopen(dir)
-		Expect(err).NotTo(HaveOccurred())
-		stored, reopened, err := reopen(dir)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(stored.Entries).To(BeEmpty())
-		Expect(reopened.DiskID).To(Equal(created.DiskID))
-		Expect(reopened.RunNumber).To(BeNumerically(">", created.RunNumber))
-	},
-		Entry("none", uint64(0)),
-		Entry("part of the first page", uint64(100)),
-		Entry("one page", uint64(os.Getpagesize())),
-		Entry("the first four pages", uint64(4*os.Getpagesize())),
-		Entry("part of the first commit", uint64(4*os.Getpagesize()+3000)),
-	)
-})
+		g.Expect(err).NotTo(HaveOccurred(), "%d bytes of room before", roomBytes)
+		_, reopened, err := reopen(dir)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reopened.DiskID).To(Equal(created.DiskID))
+		g.Expect(reopened.RunNumber).To(BeNumerically(">", created.RunNumber))
+	}
+}
+
+// Guards against a creation that a dead process left half done and that is then taken for the journal.
+func TestAnUnfinishedCreationIsReplaced(t *testing.T) {
+	g, other := NewWithT(t), t.TempDir()
+	_, otherIdentity, err := reopen(other)
+	g.Expect(err).NotTo(HaveOccurred())
+	whole, err := os.ReadFile(filepath.Join(other, FileName))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, left := range []string{"", "short", strings.Repeat("x", 1<<16), string(whole[:len(whole)/2]), string(whole)} {
+		dir := t.TempDir()
+		g.Expect(os.WriteFile(filepath.Join(dir, FileName+newFileSuffix), []byte(left), fileMode)).To(Succeed())
+		_, identity, err := reopen(dir)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(identity.DiskID).NotTo(Equal(otherIdentity.DiskID))
+		entries, err := os.ReadDir(dir)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(entries).To(HaveLen(1))
+	}
+}
+
+// Guards against two processes that create a journal in the same folder, and the second one replacing the first's.
+func TestOneProcessCreatesTheJournal(t *testing.T) {
+	g, dir := NewWithT(t), t.TempDir()
+	lock, err := lockFolder(dir)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _, err = reopen(dir)
+	g.Expect(err).To(BeAssignableToTypeOf(&FileError{}))
+	g.Expect(lock.Close()).To(Succeed())
+	_, _, err = reopen(dir)
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,13 +1,13 @@
 // Package journal stores the durable state of a replica in one bbolt file in its
 // data folder: the log, the term and vote, the newest snapshot and the identity of
 // the folder. A write returns after it is synced. Every record has a checksum, and
-// Open rejects a torn or corrupt file.
+// Open rejects a torn or corrupt file. A file under the name of the journal was
+// complete and synced before it got that name.
 package journal
 
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -56,49 +56,40 @@
 	bytesRead int64
 }
 
-// Open opens the data folder of a host, or initialises an empty one, and returns the
+// Open opens the data folder of a host, or creates its journal, and returns the
 // stored state. Errors are *CorruptError, *IdentityError or *FileError.
 func Open(dir, cluster string, id uint64) (*Journal, consensus.PersistedState, error) {
 	path := filepath.Join(dir, FileName)
-	if err := prepareFolder(dir, path); err != nil {
+	if err := createIfMissing(dir, cluster, id); err != nil {
+		return nil, consensus.PersistedState{}, err
+	}
+	if err := checkMetaPages(path); err != nil {
 		return nil, consensus.PersistedState{}, err
 	}
 	stored, bytesRead, err := verifyFile(path)
 	if err != nil {
 		return nil, consensus.PersistedState{}, err
 	}
-	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true,
-		FreelistType: bbolt.FreelistMapType, InitialMmapSize: initialMmapBytes})
+	j, err := openFile(path)
 	if err != nil {
-		return nil, consensus.PersistedState{}, &FileError{Path: path, Cause: err}
+		return nil, consensus.PersistedState{}, err
 	}
-	j := &Journal{db: db, path: path, bytesRead: bytesRead}
+	j.bytesRead = bytesRead
 	if err := errors.CombineErrors(j.updateIdentity(cluster, id), syncFolder(dir)); err != nil {
-		_ = db.Close()
+		_ = j.Close()
 		return nil, consensus.PersistedState{}, err
 	}
 	return j, stored, nil
 }
 
-// prepareFolder creates the folder and verifies the meta pages of an existing file.
-func prepareFolder(dir, path string) error {
-	if err := os.MkdirAll(dir, folderMode); err != nil {
-		return &FileError{Path: dir, Cause: err}
-	}
-	return checkMetaPages(path)
-}
-
-// syncFolder syncs the folder, so that the directory entry of a new file is durable.
-func syncFolder(dir string) error {
-	folder, err := os.Open(dir)
+// openFile opens a journal file for writing, and creates it if it is missing.
+func openFile(path string) (*Journal, error) {
+	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true,
+		FreelistType: bbolt.FreelistMapType, InitialMmapSize: initialMmapBytes})
 	if err != nil {
-		return &FileError{Path: dir, Cause: err}
-	}
-	defer folder.Close()
-	if err := folder.Sync(); err != nil {
-		return &FileError{Path: dir, Cause: err}
+		return nil, &FileError{Path: path, Cause: err}
 	}
-	return nil
+	return &Journal{db: db, path: path}, nil
 }
 
 // updateIdentity loads or creates the identity and stores it with a higher run number.
