Test that each change of the configuration is answered within its bound

One table: the data folder of the asked host or of the leader is closed, the write of the change itself fails, the leader is paused, cut off or leaves proposals unanswered. A repeated put at the other hosts is acknowledged in those cases that get so far.

--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,8 +19,9 @@
 
 // pausableHosts are control hosts with logs whose calls can be made to hang, as those of paused processes.
 type pausableHosts struct {
-	hosts  []*logHost
-	paused []atomic.Bool
+	hosts          []*logHost
+	paused         []atomic.Bool
+	holdsProposals []atomic.Bool // does not answer forwarded proposals, and goes on otherwise
 }
 
 // pauseTransport makes calls from a paused host hang.
@@ -39,7 +41,7 @@
 // startPausableHosts starts control hosts that form a cluster and end with the test. Those from the count
 // of voters on have no disk.
 func startPausableHosts(t *testing.T, voters, others int) *pausableHosts {
-	p := &pausableHosts{paused: make([]atomic.Bool, voters+others)}
+	p := &pausableHosts{paused: make([]atomic.Bool, voters+others), holdsProposals: make([]atomic.Bool, voters+others)}
 	var members []replica.Member
 	var servers []*httptest.Server
 	for i := range voters + others {
@@ -59,11 +61,11 @@
 		if o.Ephemeral = i >= voters; !o.Ephemeral {
 			o.DataDir = t.TempDir()
 		}
-		h := &logHost{ReplicaSupervisor: NewReplicaSupervisor(o)}
+		h := &logHost{folder: o.DataDir, ReplicaSupervisor: NewReplicaSupervisor(o)}
 		p.hosts = append(p.hosts, h)
 		handler := h.Handler("/")
 		server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if p.paused[i].Load() {
+			if p.paused[i].Load() || p.holdsProposals[i].Load() && strings.HasSuffix(r.URL.Path, "/Propose") {
 				<-r.Context().Done()
 				return
 			}
--- /dev/null
+++ b/internal/fleet/put_document_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/journal"
+)
+
+// ackBound is the stated bound of the answer to a change of the configuration.
+const ackBound = 4 * time.Second
+
+// closeFolder makes a host close its data folder, and keeps it closed until open is called.
+func (h *logHost) closeFolder(t *testing.T, g *WithT) (open func()) {
+	file, err := os.Open(filepath.Join(h.folder, journal.FileName))
+	g.Expect(err).NotTo(HaveOccurred())
+	locked := make(chan error, 1)
+	go func() { locked <- syscall.Flock(int(file.Fd()), syscall.LOCK_EX) }()
+	open = func() { _ = file.Close() }
+	t.Cleanup(open)
+	h.fillDisk(g)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, _ = h.Propose(ctx, document.EncodeCommand(2, []byte("two")))
+	}()
+	g.Eventually(locked, reopenTimeout, "1ms").Should(Receive(BeNil()))
+	g.Eventually(h.running, reopenTimeout, "1ms").Should(BeNil())
+	return open
+}
+
+// Guards against changes of the configuration that get no answer within the bound, because a host waits for another one that
+// is silent or for a proposal that nobody resolves, and against those that fail though the host could ask the new leader.
+func TestEveryChangeIsAnsweredWithinTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		putAt        string
+		prepare      func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) (restore func())
+		acknowledged bool
+	}{
+		{"own folder closed", "follower", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			return p.hosts[follower].closeFolder(t, g)
+		}, false},
+		{"leader's folder closed", "follower", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			return p.hosts[leader].closeFolder(t, g)
+		}, true},
+		{"write of the change fails, put at the leader", "leader", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			p.hosts[leader].fillDisk(g)
+			return func() {}
+		}, false},
+		{"write of the change fails, put at a follower", "follower", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			p.hosts[leader].fillDisk(g)
+			return func() {}
+		}, true},
+		{"leader paused", "follower", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			p.paused[leader].Store(true)
+			return func() { p.paused[leader].Store(false) }
+		}, true},
+		{"leader leaves proposals unanswered", "follower", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			p.holdsProposals[leader].Store(true)
+			return func() { p.holdsProposals[leader].Store(false) }
+		}, false},
+		{"leader cut off", "leader", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			p.paused[leader].Store(true)
+			return func() {}
+		}, false},
+		{"leader cut off for 1.5 s", "leader", func(t *testing.T, g *WithT, p *pausableHosts, leader, follower int) func() {
+			p.paused[leader].Store(true)
+			time.AfterFunc(1500*time.Millisecond, func() { p.paused[leader].Store(false) })
+			return func() {}
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			p := startPausableHosts(t, 3, 0)
+			p.hosts[0].propose(g, document.EncodeCommand(1, []byte("one")))
+			for _, h := range p.hosts {
+				g.Eventually(func() bool { return h.State().UpToDate && voterCount(h) == 3 }, reopenTimeout, "5ms").Should(BeTrue())
+			}
+			leader := p.leader()
+			g.Expect(leader).NotTo(Equal(-1))
+			at, follower := leader, (leader+1)%3
+			if c.putAt == "follower" {
+				at = follower
+			}
+			restore := c.prepare(t, g, p, leader, follower)
+
+			put := func(i int, bound time.Duration) error {
+				server := NewServer(ServerOptions{Log: p.hosts[i], State: p.hosts[i], MinVoters: 3, Logger: discardLogger})
+				ctx, cancel := context.WithTimeout(context.Background(), bound)
+				defer cancel()
+				return server.PutDocument(ctx, 3, []byte("three"))
+			}
+			began := time.Now()
+			err := put(at, 2*ackBound)
+			took := time.Since(began)
+			t.Logf("answered after %v: %v", took, err)
+			g.Expect(took).To(BeNumerically("<", ackBound))
+			g.Expect(err == nil).To(Equal(c.acknowledged), "%v", err)
+			restore()
+			for i := range p.hosts {
+				if i != at {
+					g.Eventually(func() error { return put(i, ackBound) }, reopenTimeout).Should(Succeed(), "host %d", i)
+				}
+			}
+		})
+	}
+}
