Tell followers that a closed data folder recorded nothing

A change handed to a follower whose leader's data folder had just closed ended with an unknown outcome, though nothing was recorded: the closed host answered a plain 503, which its caller can't tell from an answer that was lost. It answers with 503 and the code of a refusal that may be repeated now, so that the follower asks the new leader, for reads of the configuration too.

--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -201,14 +201,15 @@
 	return view
 }
 
-// Handler serves the requests of the other hosts on every path; the argument is ignored.
+// Handler serves the requests of the other hosts on every path; the argument is ignored. While the data folder is not
+// open, it tells them that a request had no effect and may be repeated at once.
 func (s *ReplicaSupervisor) Handler(path string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if running := s.running(); running != nil {
 			running.handler.ServeHTTP(w, r)
 			return
 		}
-		http.Error(w, (&DataFolderClosedError{}).Error(), http.StatusServiceUnavailable)
+		replica.Refuse(w, &DataFolderClosedError{})
 	})
 }
 
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 
@@ -210,6 +211,15 @@
 	return connect.NewError(connect.CodeUnknown, err)
 }
 
+// Refuse answers any call of another host, in the place of the handler of a replica that is not open: the call had no
+// effect and may be repeated at once.
+func Refuse(w http.ResponseWriter, reason error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	// A write error means that the caller is gone, so it is ignored.
+	_ = json.NewEncoder(w).Encode(map[string]string{"code": connect.CodeFailedPrecondition.String(), "message": reason.Error()})
+}
+
 // peerService serves the requests of the other hosts.
 type peerService struct {
 	*Replica
