Give up a forwarded proposal once another leader is known

A change handed to a follower whose leader was paused waited to the end of the caller's time (8 s in the test), while the others had elected a new leader after about half a second. Only forwarded reads watched for that. Every call that is forwarded to the leader ends now once that is no longer the known leader; a proposal or a change of members then has an unknown outcome.

TestEveryChangeIsAnsweredWithinTheBound, leader paused: 8.0 s before, an unknown outcome after 0.54 s now.

--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -64,7 +64,7 @@
 		return nil, &NotRecordedError{Reason: fmt.Sprintf("%d bytes are over the bound of %d", len(command), MaxCommandBytes)}
 	}
 	var result []byte
-	err := r.callLeaderWithRetry(ctx, func(isLeader bool, leaderURL string) (err error) {
+	err := r.callLeaderWithRetry(ctx, func(ctx context.Context, isLeader bool, leaderURL string) (err error) {
 		if isLeader {
 			result, err = r.proposeAsLeader(ctx, command)
 			return err
@@ -77,10 +77,10 @@
 
 // callLeaderWithRetry calls the leader, and retries for up to leaderWaitTimeout
 // while the call is refused with a retryable error.
-func (r *Replica) callLeaderWithRetry(ctx context.Context, call func(isLeader bool, leaderURL string) error) error {
+func (r *Replica) callLeaderWithRetry(ctx context.Context, call func(ctx context.Context, isLeader bool, leaderURL string) error) error {
 	deadline := time.Now().Add(leaderWaitTimeout)
 	for {
-		err := r.callLeader(call)
+		err := r.callLeader(ctx, call)
 		var refused *refusedError
 		if !errors.As(err, &refused) {
 			return err
@@ -91,17 +91,24 @@
 	}
 }
 
-// callLeader calls the currently known leader once.
-func (r *Replica) callLeader(call func(isLeader bool, leaderURL string) error) error {
+// callLeader calls the currently known leader once. A call to another host ends as soon as that is not the known leader any more.
+func (r *Replica) callLeader(ctx context.Context, call func(ctx context.Context, isLeader bool, leaderURL string) error) error {
 	nodeStatus := r.nodeStatus.Load()
 	if nodeStatus.Role == consensus.Leader {
-		return call(true, "")
+		return call(ctx, true, "")
 	}
 	leaderURL := r.hostURL(nodeStatus.LeaderID)
 	if nodeStatus.LeaderID == 0 || leaderURL == "" {
 		return &refusedError{reason: r.unavailableReason(nodeStatus), retryable: true}
 	}
-	return call(false, leaderURL)
+	ctx, cancel := r.whileFollowing(ctx, leaderURL)
+	defer cancel()
+	err := call(ctx, false, leaderURL)
+	var unknown *OutcomeUnknownError
+	if errors.As(err, &unknown) && errors.Is(context.Cause(ctx), errLeaderChanged) {
+		unknown.Reason = errLeaderChanged.reason
+	}
+	return err
 }
 
 // waitRetryInterval waits before a retry. It returns false if ctx ended or the
@@ -272,7 +279,7 @@
 
 // changeMember asks the leader for a membership change.
 func (r *Replica) changeMember(ctx context.Context, member consensus.Member, remove bool) error {
-	return r.callLeaderWithRetry(ctx, func(isLeader bool, leaderURL string) error {
+	return r.callLeaderWithRetry(ctx, func(ctx context.Context, isLeader bool, leaderURL string) error {
 		if !isLeader {
 			return r.forwardMemberChange(ctx, leaderURL, member, remove)
 		}
--- a/internal/replica/read_barrier.go
+++ b/internal/replica/read_barrier.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	var index uint64
-	err := r.callLeaderWithRetry(ctx, func(isLeader bool, leaderURL string) (err error) {
+	err := r.callLeaderWithRetry(ctx, func(ctx context.Context, isLeader bool, leaderURL string) (err error) {
 		if isLeader {
 			index, err = r.leaderReadIndex(ctx)
 			return err
@@ -50,27 +50,33 @@
 	return r.CopyOdd()
 }
 
-// forwardReadIndex asks the leader for the read index. It gives up as soon as another leader is known, or
-// none: a leader that is paused does not answer.
+// errLeaderChanged ends a call to a leader that no longer is the known one.
+var errLeaderChanged = &refusedError{reason: "the leadership changed before the leader answered", retryable: true}
+
+// forwardReadIndex asks the leader for the read index.
 func (r *Replica) forwardReadIndex(ctx context.Context, leaderURL string) (uint64, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	ended := &refusedError{reason: "the leadership changed before the leader answered", retryable: true}
-	go func() {
-		if r.pollUntil(ctx, func() bool { return !r.isFollowing(leaderURL) }) == nil {
-			cancel(ended)
-		}
-	}()
 	response, err := r.client(leaderURL).Confirm(ctx, connect.NewRequest(&pb.ConfirmRequest{Cluster: r.options.ClusterName}))
 	switch {
 	case err == nil:
 		return response.Msg.Index, nil
-	case errors.Is(context.Cause(ctx), ended):
-		return 0, ended
+	case errors.Is(context.Cause(ctx), errLeaderChanged):
+		return 0, errLeaderChanged
 	}
 	return 0, classifyForwardError(err)
 }
 
+// whileFollowing returns a context that ends with errLeaderChanged as soon as another leader is known, or none: a leader that
+// is paused does not answer.
+func (r *Replica) whileFollowing(ctx context.Context, leaderURL string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		if r.pollUntil(ctx, func() bool { return !r.isFollowing(leaderURL) }) == nil {
+			cancel(errLeaderChanged)
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // isFollowing reports whether the known leader is another host with this URL.
 func (r *Replica) isFollowing(leaderURL string) bool {
 	nodeStatus := r.nodeStatus.Load()
