Fail the proposals of a leadership that ended and that nobody resolves

A change handed to a leader that is cut off from the majority waited for as long as its caller (8 s in the test): after it has stepped down, its pending proposals were resolved only by another entry at their index, which never comes while it is cut off. They now fail with an unknown outcome half a second after the leadership has ended; until then the next leader may still commit them.

--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -38,6 +38,8 @@
 	snapshotSendTimeout       = time.Minute
 	leaderWaitTimeout         = 3 * time.Second
 	retryInterval             = 20 * time.Millisecond
+	// strandedTimeout is how long after its end the proposals of a leadership wait for the next leader to commit them.
+	strandedTimeout = 500 * time.Millisecond
 )
 
 // Options configures a replica.
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -79,6 +80,7 @@
 	journalBusy     bool           // a journal job is under way
 	writingSnapshot bool           // it is a snapshot of the own state
 	pendingSnapshot *stateSnapshot // to be written to the journal next
+	ledAt           time.Duration  // when this replica last led
 }
 
 // run handles inputs in batches, and passes on the node's output after each batch.
@@ -93,6 +95,7 @@
 			return nil
 		case <-ticker.C:
 			l.node.Tick(l.now())
+			l.failStranded()
 		case batch := <-l.messages.Chan():
 			l.handleMessages(batch)
 		case p := <-l.proposals.Chan():
@@ -120,6 +123,16 @@
 	}
 }
 
+// failStranded fails the proposals of an earlier leadership that no leader has committed or replaced: one that is cut off
+// may not learn of either for any time.
+func (l *nodeLoop) failStranded() {
+	if l.nodeStatus.Load().Role == consensus.Leader {
+		l.ledAt = l.now()
+	} else if l.now()-l.ledAt > strandedTimeout {
+		l.pendingProposals.failThrough(math.MaxUint64, "this host stopped leading")
+	}
+}
+
 // handleQueuedInputs handles up to maxInputsPerFlush messages and proposals that
 // are queued already, without waiting.
 func (l *nodeLoop) handleQueuedInputs() {
