Bound the calls of operators, and propose a change again after an unknown outcome

A change of the configuration had no bound of its own: where a leader leaves a proposal unanswered, the operator's call took as long as the operator waited. It also ended at the first unknown outcome or refusal, though the asked host could reach the new leader, and its error didn't tell whether the change may still come into force.

Putting a change proposes it again after an unknown outcome, which its version makes safe, until 3.5 s (and 1 s per MiB) are over or the data folder is closed; one try ends after 1.5 s. Commands that count are still proposed once. The error, which is also the body of the 503, tells whether the change was not stored or may still come into force. Reads of the configuration take 3.5 s at most. A host whose data folder is closed refuses at once, so that the operator asks the next one; it does not forward.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
@@ -40,6 +41,12 @@
 	// maxFormationWait is how long after its start a host refuses the first document
 	// for lack of voters.
 	maxFormationWait = 8 * time.Second
+	// operatorTimeout bounds the answer to a call of an operator, below the bound of an acknowledgement. For a change, it and
+	// putTryTimeout, that of one proposal, grow by putTimePerMiB.
+	operatorTimeout = 3500 * time.Millisecond
+	putTryTimeout   = 1500 * time.Millisecond
+	putTimePerMiB   = time.Second
+	putRetryDelay   = 20 * time.Millisecond
 	// eventBatchDelay gathers changes that come close together into one event.
 	eventBatchDelay = 5 * time.Millisecond
 )
@@ -114,19 +121,58 @@
 	return trefoilkeelv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(rpc.MaxMessageBytes))
 }
 
+// NotAcknowledgedError reports that a document is not acknowledged.
+type NotAcknowledgedError struct {
+	MayComeIntoForce bool  // it may be stored already, or be stored yet
+	Cause            error // a *DataFolderClosedError, *replica.CopyOddError, *ClusterFormingError or one of the log
+}
+
+func (e *NotAcknowledgedError) Error() string {
+	if e.MayComeIntoForce {
+		return "the configuration may still come into force: " + e.Cause.Error()
+	}
+	return "the configuration was not stored: " + e.Cause.Error()
+}
+
+func (e *NotAcknowledgedError) Unwrap() error { return e.Cause }
+
 // PutDocument stores a validated document if its version is the highest, and returns once
-// that is durable on a quorum. Errors are *DataFolderClosedError, *replica.CopyOddError,
-// *ClusterFormingError or those of the log.
+// that is durable on a quorum, or operatorTimeout is over. An error is a *NotAcknowledgedError.
 func (s *Server) PutDocument(ctx context.Context, version uint64, content []byte) error {
 	if err := s.checkFormed(); err != nil {
-		return err
+		return &NotAcknowledgedError{Cause: err}
 	}
 	compressed, err := document.Compress(content)
 	if err != nil {
-		return err
+		return &NotAcknowledgedError{Cause: err}
+	}
+	return s.proposeDocument(ctx, document.EncodeCommand(version, compressed))
+}
+
+// proposeDocument proposes a document until that has succeeded, its time is over or the data folder is closed. It may be
+// proposed again although the outcome is unknown, since a known version has no effect.
+func (s *Server) proposeDocument(ctx context.Context, command []byte) error {
+	transfer := putTimePerMiB * time.Duration(len(command)) >> 20
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout+transfer)
+	defer cancel()
+	var unknown *replica.OutcomeUnknownError
+	for {
+		tryCtx, cancelTry := context.WithTimeout(ctx, putTryTimeout+transfer)
+		_, err := s.log.Propose(tryCtx, command)
+		cancelTry()
+		if err == nil {
+			return nil
+		}
+		isUnknown := errors.As(err, &unknown) // unknown keeps the one of an earlier try
+		var notRecorded *replica.NotRecordedError
+		if !isUnknown && !errors.As(err, &notRecorded) || !wait.For(ctx, putRetryDelay) {
+			if unknown != nil {
+				return &NotAcknowledgedError{MayComeIntoForce: true, Cause: unknown}
+			}
+			return &NotAcknowledgedError{Cause: err}
+		}
+		s.logger.Debug("configuration proposed again", "error", err)
 	}
-	_, err = s.log.Propose(ctx, document.EncodeCommand(version, compressed))
-	return err
 }
 
 // checkFormed refuses the first document while the cluster has too few voters to lose
@@ -154,8 +200,10 @@
 
 // GetDocument returns the newest document, confirmed by a quorum after the call began.
 // Version 0 means that there is none. Errors are *DataFolderClosedError, *replica.CopyOddError,
-// *StateReplacedError or those of the log or of decompression.
+// *StateReplacedError or those of the log or of decompression. The answer takes operatorTimeout at most.
 func (s *Server) GetDocument(ctx context.Context) (version uint64, content []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	machine := s.state.State().Machine
 	if err := readBarrier(ctx, s.log, s.state, machine); err != nil {
 		return 0, nil, err
