--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -28,7 +28,7 @@
 	applyQueueCapacity        = 16
 	peerQueueCapacity         = 256
 	controlQueueCapacity      = 16
-	snapshotSendQueueCapacity = 4
+	snapshotSendQueueCapacity = 1
 	trailingEntriesDivisor    = 4       // 1/4 of SnapshotIntervalEntries is kept in the log below a snapshot
 	maxApplyEntries           = 1024    // entries of one job for the state machine
 	maxApplyBytes             = 4 << 20 // command bytes of one job for the state machine
@@ -148,14 +148,13 @@
 	stopped    chan struct{}   // closed when Run has returned
 	started    atomic.Bool     // Run was called
 
-	messages         *ring.Ring[[]consensus.Message]
-	proposals        *ring.Ring[*proposal]
-	controls         *ring.Ring[*controlRequest]
-	journalJobs      *ring.Ring[journalJob]
-	journalDone      *ring.Ring[journalJob]
-	applyJobs        *ring.Ring[applyJob]
-	stateSnapshots   *ring.Ring[stateSnapshot]
-	snapshotMessages *ring.Ring[consensus.Message]
+	messages       *ring.Ring[[]consensus.Message]
+	proposals      *ring.Ring[*proposal]
+	controls       *ring.Ring[*controlRequest]
+	journalJobs    *ring.Ring[journalJob]
+	journalDone    *ring.Ring[journalJob]
+	applyJobs      *ring.Ring[applyJob]
+	stateSnapshots *ring.Ring[stateSnapshot]
 
 	nodeStatus        atomic.Pointer[consensus.Status]
 	appliedIndex      atomic.Uint64
@@ -247,17 +246,16 @@
 		return nil, err
 	}
 	r := &Replica{options: o, logger: o.Logger, journal: j, machine: machine, node: node, clockStart: time.Now(),
-		stopped:          make(chan struct{}),
-		messages:         ring.New[[]consensus.Message]("messages", messageQueueCapacity),
-		proposals:        ring.New[*proposal]("proposals", proposalQueueCapacity),
-		controls:         ring.New[*controlRequest]("controls", controlQueueCapacity),
-		journalJobs:      ring.New[journalJob]("writes", 1),
-		journalDone:      ring.New[journalJob]("written", 1),
-		applyJobs:        ring.New[applyJob]("applies", applyQueueCapacity),
-		stateSnapshots:   ring.New[stateSnapshot]("snapshots", 1),
-		snapshotMessages: ring.New[consensus.Message]("installs", snapshotSendQueueCapacity),
-		digestJobs:       ring.New[digestJob]("digests", digestQueueCapacity),
-		digests:          newDigests(o.ID), appliedMembership: stored.Snapshot.Membership,
+		stopped:        make(chan struct{}),
+		messages:       ring.New[[]consensus.Message]("messages", messageQueueCapacity),
+		proposals:      ring.New[*proposal]("proposals", proposalQueueCapacity),
+		controls:       ring.New[*controlRequest]("controls", controlQueueCapacity),
+		journalJobs:    ring.New[journalJob]("writes", 1),
+		journalDone:    ring.New[journalJob]("written", 1),
+		applyJobs:      ring.New[applyJob]("applies", applyQueueCapacity),
+		stateSnapshots: ring.New[stateSnapshot]("snapshots", 1),
+		digestJobs:     ring.New[digestJob]("digests", digestQueueCapacity),
+		digests:        newDigests(o.ID), appliedMembership: stored.Snapshot.Membership,
 		repairWanted: make(chan struct{}, 2),
 	}
 	r.joinMembers.Store(&o.InitialMembers)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -108,6 +108,29 @@
 		Eventually(c.hosts[wiped].machine.list, eventuallyTimeout).Should(Equal(want))
 	})
 
+	// Guards against a host that leaves a snapshot unanswered and so keeps those of all others back.
+	It("sends a wiped voter its snapshot while a learner leaves its own unanswered", func() {
+		c := newCluster(GinkgoTB(), 3, func(o *Options) { o.SnapshotIntervalEntries, o.Ephemeral = 16, o.ID == 4 })
+		c.waitForVoters(3)
+		leader := c.waitForLeader()
+		const count = 64
+		for i := range count {
+			c.proposeUntilApplied(leader.id, fmt.Sprintf("%01024d", i))
+		}
+		learner := &testHost{id: 4, dir: GinkgoTB().TempDir()}
+		learner.stalls.Store(true)
+		c.listen(learner)
+		c.hosts[4] = learner
+		Expect(leader.replica.AddMember(context.Background(), 4, learner.url)).To(Succeed())
+		c.start(4, false)
+		Eventually(learner.stalled.Load, eventuallyTimeout).Should(BeTrue())
+		wiped := leader.id%3 + 1
+		c.kill(wiped)
+		Expect(os.RemoveAll(c.hosts[wiped].dir)).To(Succeed())
+		c.start(wiped, true)
+		Eventually(c.hosts[wiped].machine.list, snapshotSendTimeout/2).Should(HaveLen(count))
+	})
+
 	It("refuses proposals after a quorum has lost its data, and says why", func() {
 		c := newCluster(GinkgoTB(), 3, nil)
 		c.waitForVoters(3)
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -31,11 +31,11 @@
 	}
 	defer close(r.stopped)
 	group, ctx := errgroup.WithContext(ctx)
-	loop := &nodeLoop{Replica: r, group: group, peerQueues: map[uint64]*ring.Ring[consensus.Message]{}}
+	loop := &nodeLoop{Replica: r, group: group, peerQueues: map[uint64]*ring.Ring[consensus.Message]{},
+		snapshotQueues: map[uint64]*ring.Ring[consensus.Message]{}}
 	group.Go(func() error { return loop.run(ctx) })
 	group.Go(func() error { return r.runJournal(ctx) })
 	group.Go(func() error { return r.runApply(ctx) })
-	group.Go(func() error { return r.runSnapshotSender(ctx) })
 	group.Go(func() error { return r.runDigests(ctx) })
 	group.Go(func() error { return r.runRepair(ctx) })
 	err := group.Wait()
@@ -75,8 +75,10 @@
 // nodeLoop is the state of the goroutine that owns the consensus node.
 type nodeLoop struct {
 	*Replica
-	group           *errgroup.Group
-	peerQueues      map[uint64]*ring.Ring[consensus.Message]
+	group *errgroup.Group
+	// By host:
+	peerQueues, snapshotQueues map[uint64]*ring.Ring[consensus.Message]
+
 	journalBusy     bool           // a journal job is under way
 	writingSnapshot bool           // it is a snapshot of the own state
 	pendingSnapshot *stateSnapshot // to be written to the journal next
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -64,6 +66,9 @@
 	return append([]string(nil), m.items...)
 }
 
+// stalledBytes is more than a message without a snapshot has in these tests.
+const stalledBytes = 16 << 10
+
 // testHost is a control host on the loopback interface.
 type testHost struct {
 	id       uint64
@@ -73,6 +78,8 @@
 	machine  *listMachine
 	replica  *Replica
 	stop     func()
+	stalls   atomic.Bool // leaves calls of more than stalledBytes unanswered
+	stalled  atomic.Bool // it has
 }
 
 // testCluster is a set of control hosts in this process.
@@ -161,7 +168,17 @@
 	h.replica, err = Open(options)
 	Expect(err).NotTo(HaveOccurred())
 	mux := http.NewServeMux()
-	mux.Handle(h.replica.Handler())
+	path, handler := h.replica.Handler()
+	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || h.stalls.Load() && len(body) > stalledBytes {
+			h.stalled.Store(true)
+			<-r.Context().Done()
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		handler.ServeHTTP(w, r)
+	})
 	// Not rpc.Serve, since the server is closed without a graceful shutdown.
 	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
 	server.Protocols.SetUnencryptedHTTP2(true)
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -49,10 +49,7 @@
 // full, the message is counted and dropped; the protocol sends it again.
 func (l *nodeLoop) queueMessages(ctx context.Context, messages []consensus.Message) {
 	for _, m := range messages {
-		queue := l.peerQueue(ctx, m.To)
-		if m.Type == consensus.MsgSnapshot {
-			queue = l.snapshotMessages
-		}
+		queue := l.queueOf(ctx, m)
 		if err := queue.TryPut(m); err != nil {
 			l.stats.MessagesDropped.Add(1)
 			l.logger.Debug("message dropped", "to", m.To, "error", err)
@@ -60,14 +57,19 @@
 	}
 }
 
-// peerQueue returns the queue of a host. The first call for a host starts its sender.
-func (l *nodeLoop) peerQueue(ctx context.Context, id uint64) *ring.Ring[consensus.Message] {
-	if existing, ok := l.peerQueues[id]; ok {
+// queueOf returns the queue of a message: each host has one for snapshots and one for other messages. The first call for
+// a queue starts its sender.
+func (l *nodeLoop) queueOf(ctx context.Context, m consensus.Message) *ring.Ring[consensus.Message] {
+	queues, capacity, run := l.peerQueues, peerQueueCapacity, l.runPeerSender
+	if m.Type == consensus.MsgSnapshot {
+		queues, capacity, run = l.snapshotQueues, snapshotSendQueueCapacity, l.runSnapshotSender
+	}
+	if existing, ok := queues[m.To]; ok {
 		return existing
 	}
-	queue := ring.New[consensus.Message]("peer", peerQueueCapacity)
-	l.peerQueues[id] = queue
-	l.group.Go(func() error { return l.runPeerSender(ctx, id, queue) })
+	queue := ring.New[consensus.Message]("peer", capacity)
+	queues[m.To] = queue
+	l.group.Go(func() error { return run(ctx, m.To, queue) })
 	return queue
 }
 
@@ -137,11 +139,10 @@
 	return nil
 }
 
-// runSnapshotSender sends snapshots to other hosts one at a time, concurrently
-// with the other messages.
-func (r *Replica) runSnapshotSender(ctx context.Context) error {
+// runSnapshotSender sends snapshots to one host, concurrently with its other messages.
+func (r *Replica) runSnapshotSender(ctx context.Context, id uint64, queue *ring.Ring[consensus.Message]) error {
 	for {
-		m, err := r.snapshotMessages.Take(ctx)
+		m, err := queue.Take(ctx)
 		if err != nil {
 			return nil
 		}
@@ -151,8 +152,8 @@
 		}
 		m.Snapshot = &snapshot
 		sendCtx, cancel := context.WithTimeout(ctx, snapshotSendTimeout)
-		if err := r.sendStep(sendCtx, m.To, []consensus.Message{m}); err == nil {
-			r.logger.Info("snapshot sent", "to", m.To, "index", snapshot.Index, "bytes", len(snapshot.Data))
+		if err := r.sendStep(sendCtx, id, []consensus.Message{m}); err == nil {
+			r.logger.Info("snapshot sent", "to", id, "index", snapshot.Index, "bytes", len(snapshot.Data))
 		}
 		cancel()
 	}
