--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -30,11 +31,11 @@
 	}
 	defer close(r.stopped)
 	group, ctx := errgroup.WithContext(ctx)
-	loop := &nodeLoop{Replica: r, group: group, peerQueues: map[uint64]*ring.Ring[consensus.Message]{}}
+	loop := &nodeLoop{Replica: r, group: group, peerQueues: map[uint64]*ring.Ring[consensus.Message]{},
+		snapshotQueues: map[uint64]*ring.Ring[consensus.Message]{}}
 	group.Go(func() error { return loop.run(ctx) })
 	group.Go(func() error { return r.runJournal(ctx) })
 	group.Go(func() error { return r.runApply(ctx) })
-	group.Go(func() error { return r.runSnapshotSender(ctx) })
 	group.Go(func() error { return r.runDigests(ctx) })
 	group.Go(func() error { return r.runRepair(ctx) })
 	err := group.Wait()
@@ -74,11 +75,14 @@
 // nodeLoop is the state of the goroutine that owns the consensus node.
 type nodeLoop struct {
 	*Replica
-	group           *errgroup.Group
-	peerQueues      map[uint64]*ring.Ring[consensus.Message]
+	group *errgroup.Group
+	// By host:
+	peerQueues, snapshotQueues map[uint64]*ring.Ring[consensus.Message]
+
 	journalBusy     bool           // a journal job is under way
 	writingSnapshot bool           // it is a snapshot of the own state
 	pendingSnapshot *stateSnapshot // to be written to the journal next
+	ledAt           time.Duration  // when this replica last led
 }
 
 // run handles inputs in batches, and passes on the node's output after each batch.
@@ -93,6 +97,7 @@
 			return nil
 		case <-ticker.C:
 			l.node.Tick(l.now())
+			l.failStranded()
 		case batch := <-l.messages.Chan():
 			l.handleMessages(batch)
 		case p := <-l.proposals.Chan():
@@ -120,6 +125,16 @@
 	}
 }
 
+// failStranded fails the proposals of an earlier leadership that no leader has committed or replaced: one that is cut off
+// may not learn of either for any time.
+func (l *nodeLoop) failStranded() {
+	if l.nodeStatus.Load().Role == consensus.Leader {
+		l.ledAt = l.now()
+	} else if l.now()-l.ledAt > strandedTimeout {
+		l.pendingProposals.failThrough(math.MaxUint64, "this host stopped leading")
+	}
+}
+
 // handleQueuedInputs handles up to maxInputsPerFlush messages and proposals that
 // are queued already, without waiting.
 func (l *nodeLoop) handleQueuedInputs() {
