--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -108,8 +108,8 @@
 		Eventually(c.hosts[wiped].machine.list, eventuallyTimeout).Should(Equal(want))
 	})
 
-	// Guards against a host that leaves a snapshot unanswered and so keeps those of all others back.
-	It("sends a wiped voter its snapshot while a learner leaves its own unanswered", func() {
+	// Guards against a host that leaves a snapshot unread and so keeps those of all others back.
+	It("sends a wiped voter its snapshot while a learner leaves its own unread", func() {
 		c := newCluster(GinkgoTB(), 3, func(o *Options) { o.SnapshotIntervalEntries, o.Ephemeral = 16, o.ID == 4 })
 		c.waitForVoters(3)
 		leader := c.waitForLeader()
@@ -117,13 +117,7 @@
 		for i := range count {
 			c.proposeUntilApplied(leader.id, fmt.Sprintf("%01024d", i))
 		}
-		learner := &testHost{id: 4, dir: GinkgoTB().TempDir()}
-		learner.stalls.Store(true)
-		c.listen(learner)
-		c.hosts[4] = learner
-		Expect(leader.replica.AddMember(context.Background(), 4, learner.url)).To(Succeed())
-		c.start(4, false)
-		Eventually(learner.stalled.Load, eventuallyTimeout).Should(BeTrue())
+		c.startStallingLearner(leader)
 		wiped := leader.id%3 + 1
 		c.kill(wiped)
 		Expect(os.RemoveAll(c.hosts[wiped].dir)).To(Succeed())
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -1,10 +1,8 @@
 package replica
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -15,9 +13,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/consensus"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
 
@@ -69,6 +69,40 @@
 // stalledBytes is more than a message without a snapshot has in these tests.
 const stalledBytes = 16 << 10
 
+// errDiskFull is that of a failingStore.
+var errDiskFull = errors.New("no space left on device")
+
+// failingStore is a journal whose writes can be made to fail.
+type failingStore struct {
+	store
+	fails atomic.Bool
+}
+
+func (s *failingStore) Write(b *consensus.WriteBatch) error {
+	if s.fails.Load() {
+		return errDiskFull
+	}
+	return s.store.Write(b)
+}
+
+// redirectedTransport makes the calls of a host go to its silent peer, if it has one.
+type redirectedTransport struct {
+	host *testHost
+	base http.RoundTripper
+}
+
+func (t *redirectedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if silent := t.host.silent.Load(); silent != nil {
+		r = r.Clone(r.Context())
+		r.URL.Host = (*silent).Addr().String()
+	}
+	return t.base.RoundTrip(r)
+}
+
+func (t *redirectedTransport) CloseIdleConnections() {
+	t.base.(*http.Transport).CloseIdleConnections()
+}
+
 // testHost is a control host on the loopback interface.
 type testHost struct {
 	id       uint64
@@ -78,8 +112,12 @@
 	machine  *listMachine
 	replica  *Replica
 	stop     func()
-	stalls   atomic.Bool // leaves calls of more than stalledBytes unanswered
-	stalled  atomic.Bool // it has
+	disk     *failingStore
+	ended    chan struct{} // closed once the replica has ended with err
+	err      error
+	stalls   atomic.Bool                  // leaves calls of more than stalledBytes unread
+	stalled  atomic.Bool                  // it has
+	silent   atomic.Pointer[net.Listener] // a peer in the place of all others, see startSilentPeer
 }
 
 // testCluster is a set of control hosts in this process.
@@ -159,6 +197,7 @@
 	}
 	h.machine = &listMachine{}
 	client := rpc.Client(nil)
+	client.Transport = &redirectedTransport{host: h, base: client.Transport}
 	options := Options{ID: id, ClusterName: "test", DataDir: h.dir, SelfURL: h.url, InitialMembers: c.members,
 		Bootstrap: bootstrap, NewStateMachine: func() StateMachine { return h.machine }, HTTPClient: client}
 	if c.adjustOptions != nil {
@@ -168,29 +207,33 @@
 	h.replica, err = Open(options)
 	Expect(err).NotTo(HaveOccurred())
 	mux := http.NewServeMux()
+	h.disk = &failingStore{store: h.replica.journal}
+	h.replica.journal = h.disk
 	path, handler := h.replica.Handler()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil || h.stalls.Load() && len(body) > stalledBytes {
+		if h.stalls.Load() && r.ContentLength > stalledBytes {
 			h.stalled.Store(true)
 			<-r.Context().Done()
 			return
 		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
 		handler.ServeHTTP(w, r)
 	})
 	// Not rpc.Serve, since the server is closed without a graceful shutdown.
 	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
 	server.Protocols.SetUnencryptedHTTP2(true)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
+	ended := make(chan struct{})
+	h.ended = ended
 	listener := h.listener // h.stop sets h.listener to nil, perhaps before Serve is called
 	go func() { _ = server.Serve(listener) }()
-	go func() { done <- h.replica.Run(ctx) }()
+	go func() { h.err = h.replica.Run(ctx); close(ended) }()
 	h.stop = func() {
 		_ = server.Close()
 		cancel()
-		Expect(<-done).To(Succeed())
+		<-ended
+		if !h.disk.fails.Load() {
+			Expect(h.err).To(Succeed())
+		}
 		client.CloseIdleConnections()
 		h.listener, h.stop = nil, nil
 	}
@@ -245,3 +288,14 @@
 		Expect(err).To(Or(BeAssignableToTypeOf(&NotRecordedError{}), BeAssignableToTypeOf(&OutcomeUnknownError{})))
 	}
 }
+
+// startStallingLearner starts host 4, and returns once it leaves a snapshot unread.
+func (c *testCluster) startStallingLearner(leader *testHost) {
+	learner := &testHost{id: 4, dir: c.tb.TempDir()}
+	learner.stalls.Store(true)
+	c.listen(learner)
+	c.hosts[4] = learner
+	Expect(leader.replica.AddMember(context.Background(), 4, learner.url)).To(Succeed())
+	c.start(4, false)
+	Eventually(learner.stalled.Load, eventuallyTimeout).Should(BeTrue())
+}
