--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -21,17 +21,18 @@
 type pausableHosts struct {
 	hosts          []*logHost
 	paused         []atomic.Bool
+	unconfirmed    []atomic.Bool // its own calls for a read index hang
 	holdsProposals []atomic.Bool // does not answer forwarded proposals, and goes on otherwise
 }
 
-// pauseTransport makes calls from a paused host hang.
+// pauseTransport makes calls from a paused host hang, or just those for a read index.
 type pauseTransport struct {
-	paused *atomic.Bool
-	base   http.RoundTripper
+	paused, unconfirmed *atomic.Bool
+	base                http.RoundTripper
 }
 
 func (p *pauseTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if p.paused.Load() {
+	if p.paused.Load() || p.unconfirmed.Load() && strings.HasSuffix(r.URL.Path, "/Confirm") {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
@@ -41,7 +42,7 @@
 // startPausableHosts starts control hosts that form a cluster and end with the test. Those from the count
 // of voters on have no disk.
 func startPausableHosts(t *testing.T, voters, others int) *pausableHosts {
-	p := &pausableHosts{paused: make([]atomic.Bool, voters+others), holdsProposals: make([]atomic.Bool, voters+others)}
+	p := &pausableHosts{paused: make([]atomic.Bool, voters+others), unconfirmed: make([]atomic.Bool, voters+others), holdsProposals: make([]atomic.Bool, voters+others)}
 	var members []replica.Member
 	var servers []*httptest.Server
 	for i := range voters + others {
@@ -55,7 +56,7 @@
 	var group sync.WaitGroup
 	for i, server := range servers {
 		client := rpc.Client(nil)
-		client.Transport = &pauseTransport{paused: &p.paused[i], base: client.Transport}
+		client.Transport = &pauseTransport{paused: &p.paused[i], unconfirmed: &p.unconfirmed[i], base: client.Transport}
 		o := replica.Options{ID: members[i].ID, ClusterName: "c", SelfURL: members[i].URL, InitialMembers: members[:voters],
 			Bootstrap: i < voters, MinVoters: voters, HTTPClient: client, Logger: discardLogger}
 		if o.Ephemeral = i >= voters; !o.Ephemeral {
--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -165,3 +165,33 @@
 		})
 	}
 }
+
+// Guards against a host whose data folder stays closed because the confirmation of its last opening waits for hosts that don't answer.
+func TestFolderIsOpenedAgainWhileItsLastOpeningIsNotConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	p := startPausableHosts(t, 3, 0)
+	p.hosts[0].propose(g, document.EncodeCommand(3, []byte("three")))
+	for _, h := range p.hosts {
+		g.Eventually(func() bool { return h.State().UpToDate && voterCount(h) == 3 }, reopenTimeout, "5ms").Should(BeTrue())
+	}
+	leader := p.leader()
+	g.Expect(leader).NotTo(Equal(-1))
+	filled := (leader + 1) % 3
+	h := p.hosts[filled]
+	// reopen fills the disk and returns once the data folder is open again.
+	reopen := func(version uint64) {
+		before := h.State().Machine
+		h.fillDisk(g)
+		g.Eventually(func() bool {
+			p.hosts[leader].propose(g, document.EncodeCommand(version, []byte("new")))
+			return h.running() == nil
+		}, reopenTimeout, "5ms").Should(BeTrue())
+		g.Eventually(func() bool { now := h.State().Machine; return now != nil && now != before }, ackBound, "5ms").Should(BeTrue(), "the data folder is open again")
+	}
+	p.unconfirmed[filled].Store(true)
+	reopen(4)
+	g.Expect(h.State().UpToDate).To(BeFalse())
+	reopen(5)
+	p.unconfirmed[filled].Store(false)
+	g.Eventually(func() bool { return h.State().UpToDate }, reopenTimeout, "5ms").Should(BeTrue())
+}
