Test that a late report doesn't bring a closed opening back

On the present code it does: a call that another host began before the data folder was closed is handled by the closed replica. If its report makes that copy odd, the closed replica publishes itself as the present opening without a state. The host then answers no vote, no entry and no read, though its new replica runs.

--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"hash/crc32"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,7 +16,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/duty"
 	"github.com/trefoilkeel/trefoilkeel/internal/journal"
@@ -195,3 +200,40 @@
 	p.unconfirmed[filled].Store(false)
 	g.Eventually(func() bool { return h.State().UpToDate }, reopenTimeout, "5ms").Should(BeTrue())
 }
+
+// Guards against a report that reaches a closed opening late and puts it in the place of the present one.
+func TestLateReportDoesNotBringAClosedOpeningBack(t *testing.T) {
+	g := NewWithT(t)
+	hosts := startLogHosts(t, 3)
+	hosts[0].propose(g, document.EncodeCommand(3, []byte("three")))
+	proposeRenewals(g, hosts[0])
+	expectEqualCopies(g, hosts)
+	closed := hosts[1].running()
+	call := func(procedure string, request, response proto.Message) {
+		body, err := proto.Marshal(request)
+		g.Expect(err).NotTo(HaveOccurred())
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, procedure, bytes.NewReader(body))
+		r.Header.Set("Content-Type", "application/proto")
+		closed.handler.ServeHTTP(w, r)
+		g.Expect(proto.Unmarshal(w.Body.Bytes(), response)).To(Succeed())
+	}
+	var own pb.StateResponse
+	g.Eventually(func() int {
+		call(trefoilkeelv1connect.PeerServiceStateProcedure, &pb.StateRequest{Cluster: "c"}, &own)
+		return len(own.GetDigests().GetGroups())
+	}, reopenTimeout, "5ms").Should(Equal(1))
+	report := own.Digests
+	report.Groups[0].Sums[0]++
+	report.Groups[0].Hosts = []uint64{1, 3}
+	encoded, err := proto.Marshal(report)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	hosts[1].fillDisk(g)
+	hosts[0].propose(g, document.EncodeCommand(4, []byte("four")))
+	g.Eventually(func() bool { now := hosts[1].running(); return now != nil && now.Replica != closed.Replica }, reopenTimeout, "5ms").Should(BeTrue())
+	call(trefoilkeelv1connect.PeerServiceStepProcedure, &pb.StepRequest{Cluster: "c", From: 1, To: 2, Digests: encoded,
+		DigestsChecksum: crc32.Checksum(encoded, crc32.MakeTable(crc32.Castagnoli))}, &pb.StepResponse{})
+	g.Expect(hosts[1].running().Replica != closed.Replica).To(BeTrue(), "the present opening stays")
+	expectEqualCopies(g, hosts)
+}
