--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"hash/crc32"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,7 +18,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/duty"
 	"github.com/trefoilkeel/trefoilkeel/internal/journal"
@@ -195,3 +200,70 @@
 	hosts[0].propose(g, document.EncodeCommand(3, []byte("three")))
 	expectEqualCopies(g, hosts)
 }
+
+// Guards against a host whose data folder stays closed because the confirmation of its last opening waits for hosts that don't answer.
+func TestFolderIsOpenedAgainWhileItsLastOpeningIsNotConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	p := startPausableHosts(t, 3, 0)
+	p.hosts[0].propose(g, document.EncodeCommand(3, []byte("three")))
+	for _, h := range p.hosts {
+		g.Eventually(func() bool { return h.State().UpToDate && voterCount(h) == 3 }, reopenTimeout, "5ms").Should(BeTrue())
+	}
+	leader := p.leader()
+	g.Expect(leader).NotTo(Equal(-1))
+	filled := (leader + 1) % 3
+	h := p.hosts[filled]
+	// reopen fills the disk and returns once the data folder is open again.
+	reopen := func(version uint64) {
+		before := h.State().Machine
+		h.fillDisk(g)
+		g.Eventually(func() bool {
+			p.hosts[leader].propose(g, document.EncodeCommand(version, []byte("new")))
+			return h.running() == nil
+		}, reopenTimeout, "5ms").Should(BeTrue())
+		g.Eventually(func() bool { now := h.State().Machine; return now != nil && now != before }, ackBound, "5ms").Should(BeTrue(), "the data folder is open again")
+	}
+	p.unconfirmed[filled].Store(true)
+	reopen(4)
+	g.Expect(h.State().UpToDate).To(BeFalse())
+	reopen(5)
+	p.unconfirmed[filled].Store(false)
+	g.Eventually(func() bool { return h.State().UpToDate }, reopenTimeout, "5ms").Should(BeTrue())
+}
+
+// Guards against a report that reaches a closed opening late and puts it in the place of the present one.
+func TestLateReportDoesNotBringAClosedOpeningBack(t *testing.T) {
+	g := NewWithT(t)
+	hosts := startLogHosts(t, 3)
+	hosts[0].propose(g, document.EncodeCommand(3, []byte("three")))
+	proposeRenewals(g, hosts[0])
+	expectEqualCopies(g, hosts)
+	closed := hosts[1].running()
+	call := func(procedure string, request, response proto.Message) {
+		body, err := proto.Marshal(request)
+		g.Expect(err).NotTo(HaveOccurred())
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, procedure, bytes.NewReader(body))
+		r.Header.Set("Content-Type", "application/proto")
+		closed.handler.ServeHTTP(w, r)
+		g.Expect(proto.Unmarshal(w.Body.Bytes(), response)).To(Succeed())
+	}
+	var own pb.StateResponse
+	g.Eventually(func() int {
+		call(trefoilkeelv1connect.PeerServiceStateProcedure, &pb.StateRequest{Cluster: "c"}, &own)
+		return len(own.GetDigests().GetGroups())
+	}, reopenTimeout, "5ms").Should(Equal(1))
+	report := own.Digests
+	report.Groups[0].Sums[0]++
+	report.Groups[0].Hosts = []uint64{1, 3}
+	encoded, err := proto.Marshal(report)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	hosts[1].fillDisk(g)
+	hosts[0].propose(g, document.EncodeCommand(4, []byte("four")))
+	g.Eventually(func() bool { now := hosts[1].running(); return now != nil && now.Replica != closed.Replica }, reopenTimeout, "5ms").Should(BeTrue())
+	call(trefoilkeelv1connect.PeerServiceStepProcedure, &pb.StepRequest{Cluster: "c", From: 1, To: 2, Digests: encoded,
+		DigestsChecksum: crc32.Checksum(encoded, crc32.MakeTable(crc32.Castagnoli))}, &pb.StepResponse{})
+	g.Expect(hosts[1].running().Replica != closed.Replica).To(BeTrue(), "the present opening stays")
+	expectEqualCopies(g, hosts)
+}
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -1,10 +1,8 @@
 package replica
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -71,6 +69,24 @@
 // stalledBytes is more than a message without a snapshot has in these tests.
 const stalledBytes = 16 << 10
 
+// redirectedTransport makes the calls of a host go to its silent peer, if it has one.
+type redirectedTransport struct {
+	host *testHost
+	base http.RoundTripper
+}
+
+func (t *redirectedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if silent := t.host.silent.Load(); silent != nil {
+		r = r.Clone(r.Context())
+		r.URL.Host = (*silent).Addr().String()
+	}
+	return t.base.RoundTrip(r)
+}
+
+func (t *redirectedTransport) CloseIdleConnections() {
+	t.base.(*http.Transport).CloseIdleConnections()
+}
+
 // testHost is a control host on the loopback interface.
 type testHost struct {
 	id       uint64
@@ -80,8 +96,12 @@
 	machine  *listMachine
 	replica  *Replica
 	stop     func()
-	stalls   atomic.Bool // leaves calls of more than stalledBytes unanswered
-	stalled  atomic.Bool // it has
+	disk     *fullDisk
+	ended    chan struct{} // closed once the replica has ended with err
+	err      error
+	stalls   atomic.Bool                  // leaves calls of more than stalledBytes unread
+	stalled  atomic.Bool                  // it has
+	silent   atomic.Pointer[net.Listener] // a peer in the place of all others, see startSilentPeer
 }
 
 // testCluster is a set of control hosts in this process.
@@ -185,6 +205,7 @@
 	}
 	h.machine = &listMachine{}
 	client := rpc.Client(nil)
+	client.Transport = &redirectedTransport{host: h, base: client.Transport}
 	options := Options{ID: id, ClusterName: "test", DataDir: h.dir, SelfURL: h.url, InitialMembers: c.members,
 		Bootstrap: bootstrap, NewStateMachine: func() StateMachine { return h.machine }, HTTPClient: client}
 	if c.adjustOptions != nil {
@@ -193,33 +214,36 @@
 	var err error
 	h.replica, err = Open(options)
 	Expect(err).NotTo(HaveOccurred())
-	if disk := c.disks[id]; disk != nil {
-		disk.store, h.replica.journal = h.replica.journal, disk
-	}
 	mux := http.NewServeMux()
+	if h.disk = c.disks[id]; h.disk == nil {
+		h.disk = &fullDisk{}
+	}
+	h.disk.store, h.replica.journal = h.replica.journal, h.disk
 	path, handler := h.replica.Handler()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil || h.stalls.Load() && len(body) > stalledBytes {
+		if h.stalls.Load() && r.ContentLength > stalledBytes {
 			h.stalled.Store(true)
 			<-r.Context().Done()
 			return
 		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
 		handler.ServeHTTP(w, r)
 	})
 	// Not rpc.Serve, since the server is closed without a graceful shutdown.
 	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
 	server.Protocols.SetUnencryptedHTTP2(true)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
+	ended := make(chan struct{})
+	h.ended = ended
 	listener := h.listener // h.stop sets h.listener to nil, perhaps before Serve is called
 	go func() { _ = server.Serve(listener) }()
-	go func() { done <- h.replica.Run(ctx) }()
+	go func() { h.err = h.replica.Run(ctx); close(ended) }()
 	h.stop = func() {
 		_ = server.Close()
 		cancel()
-		Expect(<-done).To(Or(Succeed(), MatchError(errDiskFull)))
+		<-ended
+		if !h.disk.full.Load() {
+			Expect(h.err).To(Succeed())
+		}
 		client.CloseIdleConnections()
 		h.listener, h.stop = nil, nil
 	}
@@ -274,3 +298,14 @@
 		Expect(err).To(Or(BeAssignableToTypeOf(&NotRecordedError{}), BeAssignableToTypeOf(&OutcomeUnknownError{})))
 	}
 }
+
+// startStallingLearner starts host 4, and returns once it leaves a snapshot unread.
+func (c *testCluster) startStallingLearner(leader *testHost) {
+	learner := &testHost{id: 4, dir: c.tb.TempDir()}
+	learner.stalls.Store(true)
+	c.listen(learner)
+	c.hosts[4] = learner
+	Expect(leader.replica.AddMember(context.Background(), 4, learner.url)).To(Succeed())
+	c.start(4, false)
+	Eventually(learner.stalled.Load, eventuallyTimeout).Should(BeTrue())
+}
