Check the cause of a refused change in the test of an odd copy

Putting a change returns a *NotAcknowledgedError since, and the *replica.CopyOddError is its cause. The test compared the type of the error itself and failed; it checks the cause now, and also that the change won't come into force.

--- a/internal/fleet/odd_copy_test.go
+++ b/internal/fleet/odd_copy_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
@@ -91,7 +92,9 @@
 	server := NewServer(ServerOptions{Log: log, State: oddState{make(chan struct{})}, MinVoters: 1, Logger: discardLogger})
 	_, _, err := server.GetDocument(context.Background())
 	g.Expect(err).To(BeAssignableToTypeOf(odd))
-	g.Expect(server.PutDocument(context.Background(), 1, []byte("one"))).To(BeAssignableToTypeOf(odd))
+	err = server.PutDocument(context.Background(), 1, []byte("one"))
+	g.Expect(answerOf(err)).To(Equal(refused))
+	g.Expect(errors.As(err, &odd)).To(BeTrue())
 	_, err = server.Document(context.Background(), connect.NewRequest(&pb.DocumentRequest{}))
 	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnavailable))
 	g.Expect(err.Error()).To(ContainSubstring("differs"))
