Keep a closed opening from taking the place of the present one

A call that another host began before the data folder was closed may reach the closed replica after the folder is open again. If its report made that copy odd, the closed replica published itself in the place of the present opening, without a state: the host answered no vote, no entry and no read until its process ended, though its new replica ran. Where the copy had been restored before, it was also excluded for good. An opening publishes nothing once it is closed, and a closed replica refuses messages.

TestLateReportDoesNotBringAClosedOpeningBack failed in each run before, passes with either half of the change and with both.

--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -209,18 +209,20 @@
 	proposeRenewals(g, hosts[0])
 	expectEqualCopies(g, hosts)
 	closed := hosts[1].running()
-	call := func(procedure string, request, response proto.Message) {
+	call := func(procedure string, request proto.Message) []byte {
 		body, err := proto.Marshal(request)
 		g.Expect(err).NotTo(HaveOccurred())
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(http.MethodPost, procedure, bytes.NewReader(body))
 		r.Header.Set("Content-Type", "application/proto")
 		closed.handler.ServeHTTP(w, r)
-		g.Expect(proto.Unmarshal(w.Body.Bytes(), response)).To(Succeed())
+		return w.Body.Bytes()
 	}
 	var own pb.StateResponse
 	g.Eventually(func() int {
-		call(trefoilkeelv1connect.PeerServiceStateProcedure, &pb.StateRequest{Cluster: "c"}, &own)
+		if proto.Unmarshal(call(trefoilkeelv1connect.PeerServiceStateProcedure, &pb.StateRequest{Cluster: "c"}), &own) != nil {
+			return 0
+		}
 		return len(own.GetDigests().GetGroups())
 	}, reopenTimeout, "5ms").Should(Equal(1))
 	report := own.Digests
@@ -233,7 +235,7 @@
 	hosts[0].propose(g, document.EncodeCommand(4, []byte("four")))
 	g.Eventually(func() bool { now := hosts[1].running(); return now != nil && now.Replica != closed.Replica }, reopenTimeout, "5ms").Should(BeTrue())
 	call(trefoilkeelv1connect.PeerServiceStepProcedure, &pb.StepRequest{Cluster: "c", From: 1, To: 2, Digests: encoded,
-		DigestsChecksum: crc32.Checksum(encoded, crc32.MakeTable(crc32.Castagnoli))}, &pb.StepResponse{})
+		DigestsChecksum: crc32.Checksum(encoded, crc32.MakeTable(crc32.Castagnoli))})
 	g.Expect(hosts[1].running().Replica != closed.Replica).To(BeTrue(), "the present opening stays")
 	expectEqualCopies(g, hosts)
 }
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -136,8 +136,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var confirms sync.WaitGroup
 	publish = func(machine *document.StateMachine) {
-		o := s.publish(opening{Replica: r, handler: handler, machine: machine})
-		if machine != nil {
+		o := s.publish(ctx, opening{Replica: r, handler: handler, machine: machine})
+		if o != nil && machine != nil {
 			confirms.Go(func() { s.confirm(ctx, o) })
 		}
 	}
@@ -147,9 +147,9 @@
 		publish(nil)
 	}
 	defer func() {
-		cancel()
+		cancel() // from now on, the closed replica publishes nothing
 		confirms.Wait()
-		s.publish(opening{})
+		s.publish(context.Background(), opening{})
 		s.setOpen(0)
 	}()
 	return true, r.Run(ctx)
@@ -167,10 +167,13 @@
 	}
 }
 
-// publish makes an opening take the place of the present one.
-func (s *ReplicaSupervisor) publish(o opening) *opening {
+// publish makes an opening take the place of the present one. It returns nil and does nothing if ctx has ended.
+func (s *ReplicaSupervisor) publish(ctx context.Context, o opening) *opening {
 	s.publishing.Lock()
 	defer s.publishing.Unlock()
+	if ctx.Err() != nil {
+		return nil
+	}
 	return s.replace(o)
 }
 
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -244,6 +244,11 @@
 	if err := s.checkCluster(req.Msg.Cluster); err != nil {
 		return nil, err
 	}
+	select {
+	case <-s.stopped:
+		return nil, connect.NewError(connect.CodeFailedPrecondition, &refusedError{reason: "the replica stopped"})
+	default:
+	}
 	batch := make([]consensus.Message, 0, len(req.Msg.Messages))
 	for _, encoded := range req.Msg.Messages {
 		m, err := consensus.DecodeMessage(encoded)
