--- a/internal/fleet/odd_copy_test.go
+++ b/internal/fleet/odd_copy_test.go
@@ -92,10 +92,9 @@
 	server := NewServer(ServerOptions{Log: log, State: oddState{make(chan struct{})}, MinVoters: 1, Logger: discardLogger})
 	_, _, err := server.GetDocument(context.Background())
 	g.Expect(err).To(BeAssignableToTypeOf(odd))
-	var refused *NotAcknowledgedError
 	err = server.PutDocument(context.Background(), 1, []byte("one"))
-	g.Expect(errors.As(err, &refused) && !refused.MayComeIntoForce).To(BeTrue(), "%v", err)
-	g.Expect(refused.Cause).To(BeAssignableToTypeOf(odd))
+	g.Expect(answerOf(err)).To(Equal(refused))
+	g.Expect(errors.As(err, &odd)).To(BeTrue())
 	_, err = server.Document(context.Background(), connect.NewRequest(&pb.DocumentRequest{}))
 	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnavailable))
 	g.Expect(err.Error()).To(ContainSubstring("differs"))
