--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/consensus"
+	"github.com/trefoilkeel/trefoilkeel/internal/journal"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
 
@@ -108,6 +109,42 @@
 		Eventually(c.hosts[wiped].machine.list, eventuallyTimeout).Should(Equal(want))
 	})
 
+	// Guards against a log of large commands that outgrows the disk.
+	It("keeps few bytes of the log below a snapshot, and a host that was away catches up", func() {
+		const interval, commandBytes = 256 << 10, 16 << 10
+		c := newCluster(GinkgoTB(), 3, func(o *Options) { o.SnapshotIntervalBytes = interval })
+		c.waitForVoters(3)
+		var want []string
+		add := func(count int) {
+			for range count {
+				want = append(want, fmt.Sprintf("%0*d", commandBytes, len(want)))
+				c.proposeUntilApplied(1, want[len(want)-1])
+			}
+		}
+		add(20)
+		c.kill(3)
+		add(60)
+		c.start(3, true)
+		add(20)
+		for id := range c.hosts {
+			Eventually(c.hosts[id].machine.list, eventuallyTimeout, 5*time.Millisecond).Should(Equal(want))
+		}
+		for id := range c.hosts {
+			c.kill(id)
+			j, stored, err := journal.Open(c.hosts[id].dir, "test", id)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(j.Close()).To(Succeed())
+			Expect(stored.Snapshot.Index).To(BeNumerically(">", 0))
+			trailing := 0
+			for _, e := range stored.Entries {
+				if e.Index <= stored.Snapshot.Index {
+					trailing += len(e.Data)
+				}
+			}
+			Expect(trailing).To(BeNumerically("<=", interval/4), "host %d", id)
+		}
+	})
+
 	It("refuses proposals after a quorum has lost its data, and says why", func() {
 		c := newCluster(GinkgoTB(), 3, nil)
 		c.waitForVoters(3)
