--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// compactionIndex returns the lowest index to compact up to so that at most maxEntries entries with maxBytes of data
+// remain up to and including last.
+func (l *entryLog) compactionIndex(last, maxEntries uint64, maxBytes int) uint64 {
+	index := last
+	for index > l.compactedIndex && last-index < maxEntries {
+		maxBytes -= len(l.entries[index-l.compactedIndex-1].Data)
+		if maxBytes < 0 {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // compact drops the entries up to index if the snapshot covers them.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.compactedIndex || index > l.snapshot.Index {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -243,6 +243,12 @@
 	return Snapshot{Index: index, Term: term, Membership: n.log.membershipAt(index)}, true
 }
 
+// CompactionIndex returns the index up to which the entries that a snapshot covers can be dropped, so that at most
+// maxEntries of them with maxBytes of data are kept for followers.
+func (n *Node) CompactionIndex(s Snapshot, maxEntries uint64, maxBytes int) uint64 {
+	return n.log.compactionIndex(s.Index, maxEntries, maxBytes)
+}
+
 // SetSnapshot records that a local snapshot is synced, and drops the entries up to
 // compactIndex that it covers.
 func (n *Node) SetSnapshot(s Snapshot, compactIndex uint64) {
--- a/internal/replica/digests_test.go
+++ b/internal/replica/digests_test.go
@@ -290,10 +290,10 @@
 
 	It("restore a copy that came from a changed snapshot of its own disk, wherever the host is killed", func() {
 		c, logs := newComparedCluster(GinkgoTB(), 3, func(o *Options) {
-			o.SnapshotIntervalEntries = digest.IntervalEntries * trailingEntriesDivisor // keeps the log after an agreed index
+			o.SnapshotIntervalEntries = digest.IntervalEntries * trailingLogDivisor // keeps the log after an agreed index
 		})
 		leader := c.waitForLeader()
-		for i := range 2 * trailingEntriesDivisor {
+		for i := range 2 * trailingLogDivisor {
 			c.proposeMany(leader.id, fmt.Sprint("before ", i))
 		}
 		c.waitUntilCompared(0)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -29,7 +29,7 @@
 	peerQueueCapacity         = 256
 	controlQueueCapacity      = 16
 	snapshotSendQueueCapacity = 4
-	trailingEntriesDivisor    = 4       // 1/4 of SnapshotIntervalEntries is kept in the log below a snapshot
+	trailingLogDivisor        = 4       // 1/4 of the entries and bytes between snapshots may be kept below a snapshot
 	maxApplyEntries           = 1024    // entries of one job for the state machine
 	maxApplyBytes             = 4 << 20 // command bytes of one job for the state machine
 	maxInputsPerFlush         = 1024    // inputs handled before output is sent
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -178,8 +178,8 @@
 		return
 	}
 	snapshot.Data = pending.data
-	trailingEntries := l.options.SnapshotIntervalEntries / trailingEntriesDivisor
-	job := journalJob{snapshot: &snapshot, compactIndex: snapshot.Index - min(snapshot.Index, trailingEntries)}
+	job := journalJob{snapshot: &snapshot, compactIndex: l.node.CompactionIndex(snapshot,
+		l.options.SnapshotIntervalEntries/trailingLogDivisor, l.options.SnapshotIntervalBytes/trailingLogDivisor)}
 	l.journalBusy, l.writingSnapshot = true, true
 	_ = l.journalJobs.PutWait(ctx, job)
 }
