--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -25,6 +25,7 @@
 const (
 	lockTimeout      = time.Second
 	initialMmapBytes = 64 << 20
+	growthStepBytes  = 1 << 20 // the file grows by this more than is needed
 	fileMode         = 0o600
 	folderMode       = 0o700
 )
@@ -89,6 +90,7 @@
 	if err != nil {
 		return nil, &FileError{Path: path, Cause: err}
 	}
+	db.AllocSize = growthStepBytes
 	return &Journal{db: db, path: path}, nil
 }
 
