--- a/internal/replica/digests_test.go
+++ b/internal/replica/digests_test.go
@@ -290,10 +290,10 @@
 
 	It("restore a copy that came from a changed snapshot of its own disk, wherever the host is killed", func() {
 		c, logs := newComparedCluster(GinkgoTB(), 3, func(o *Options) {
-			o.SnapshotIntervalEntries = digest.IntervalEntries * trailingEntriesDivisor // keeps the log after an agreed index
+			o.SnapshotIntervalEntries = digest.IntervalEntries * trailingLogDivisor // keeps the log after an agreed index
 		})
 		leader := c.waitForLeader()
-		for i := range 2 * trailingEntriesDivisor {
+		for i := range 2 * trailingLogDivisor {
 			c.proposeMany(leader.id, fmt.Sprint("before ", i))
 		}
 		c.waitUntilCompared(0)
@@ -321,14 +321,14 @@
 		repairs := &Repairs{}
 		disk := &fullDisk{}
 		c, logs := newComparedCluster(GinkgoTB(), 3, func(o *Options) {
-			o.SnapshotIntervalEntries = digest.IntervalEntries * trailingEntriesDivisor
+			o.SnapshotIntervalEntries = digest.IntervalEntries * trailingLogDivisor
 			if observe := o.OnState; o.ID == 1 {
 				o.Repairs = repairs
 				o.OnState = func(m StateMachine) { observe(m); disk.full.Store(m != nil) }
 			}
 		})
 		odd, other := c.hosts[1], c.hosts[2]
-		for i := range 2 * trailingEntriesDivisor {
+		for i := range 2 * trailingLogDivisor {
 			c.proposeMany(other.id, fmt.Sprint("before ", i))
 		}
 		c.kill(odd.id)
