--- a/internal/fleet/fetch_test.go
+++ b/internal/fleet/fetch_test.go
@@ -18,6 +18,7 @@
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/directory"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // scriptedHost is a control host that announces versions and answers fetches as a test says.
@@ -29,6 +30,7 @@
 	answer        atomic.Pointer[func(ctx context.Context, fetch int64) (version uint64, err error)]
 	fetches       atomic.Int64
 	bodyDelay     time.Duration // between the head and the body of responses to fetches
+	dripInterval  time.Duration // between the bytes of responses to fetches, which then don't end
 
 	mu      sync.Mutex
 	version uint64        // that it announces
@@ -42,7 +44,7 @@
 	path, handler := trefoilkeelv1connect.NewFleetServiceHandler(h)
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		if h.bodyDelay > 0 && r.URL.Path == trefoilkeelv1connect.FleetServiceDocumentProcedure {
+		if h.bodyDelay+h.dripInterval > 0 && r.URL.Path == trefoilkeelv1connect.FleetServiceDocumentProcedure {
 			h.writeSlowly(w, r)
 			return
 		}
@@ -131,6 +133,11 @@
 	w.Header().Set("Content-Type", "application/proto")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
+	for h.dripInterval > 0 && r.Context().Err() == nil {
+		_, _ = w.Write(body[:1])
+		_ = http.NewResponseController(w).Flush()
+		wait.For(r.Context(), h.dripInterval)
+	}
 	select {
 	case <-r.Context().Done():
 	case <-time.After(h.bodyDelay):
--- a/internal/fleet/stalled_fetch_test.go
+++ b/internal/fleet/stalled_fetch_test.go
@@ -41,29 +41,35 @@
 	}
 }
 
-// Guards against responses that stall after their head and were given more time, which keep a live host from being asked.
+// Guards against responses that stall after their head or come byte by byte and were given more time, which
+// keep a live host from being asked.
 func TestStalledResponsesWithMoreTimeMakeRoom(t *testing.T) {
-	for phase := range 6 {
-		t.Run(fmt.Sprint("phase ", phase), func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			answering := startScriptedHost(t, "b")
-			hosts := []*scriptedHost{answering}
-			for range maxParallelFetches {
-				stalled := startScriptedHost(t, "a")
-				stalled.bodyDelay = time.Hour
-				hosts = append(hosts, stalled)
-			}
-			_, c := followScripted(t, hosts...)
-			for _, h := range hosts[1:] {
-				h.announceVersion(5)
-			}
-			time.Sleep(10*fetchTimeout + time.Duration(phase)*fetchTimeout) // until fetches are given more time
-			startedAt := time.Now()
-			answering.announceVersion(5)
-			g.Eventually(versionInForce(c), "10s", "1ms").Should(Equal(uint64(5)))
-			t.Logf("in force after %v", time.Since(startedAt))
-			g.Expect(time.Since(startedAt)).To(BeNumerically("<", 2*time.Second), "the bound of a change")
-		})
+	for name, slowDown := range map[string]func(*scriptedHost){
+		"stalled":  func(h *scriptedHost) { h.bodyDelay = time.Hour },
+		"dripping": func(h *scriptedHost) { h.dripInterval = fetchTimeout / 4 },
+	} {
+		for phase := range 6 {
+			t.Run(fmt.Sprint(name, ", phase ", phase), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				answering := startScriptedHost(t, "b")
+				hosts := []*scriptedHost{answering}
+				for range maxParallelFetches {
+					slow := startScriptedHost(t, "a")
+					slowDown(slow)
+					hosts = append(hosts, slow)
+				}
+				_, c := followScripted(t, hosts...)
+				for _, h := range hosts[1:] {
+					h.announceVersion(5)
+				}
+				time.Sleep(10*fetchTimeout + time.Duration(phase)*fetchTimeout) // until fetches are given more time
+				startedAt := time.Now()
+				answering.announceVersion(5)
+				g.Eventually(versionInForce(c), "10s", "1ms").Should(Equal(uint64(5)))
+				t.Logf("in force after %v", time.Since(startedAt))
+				g.Expect(time.Since(startedAt)).To(BeNumerically("<", 2*time.Second), "the bound of a change")
+			})
+		}
 	}
 }
