End the fetch that brings least for a control host not asked yet

What counts now is the body: the HTTP client records when its bytes come and how many. If three fetches run and a host has not been asked yet, one that has had 700 ms ends: the one silent for longest, or the slowest if all have brought something within 700 ms. So one at a time makes room, and the fastest over a slow link keep their time. The fetch that ends logs FetchDisplacedError with the bytes that it brought.

A response that has begun keeps other fetches back for 600 ms, not 700 ms, the limit of a fetch: which of the two came first decided whether a fourth host was asked after 1.4 or 2.1 s. The 2.1 s were seen with three hosts that stall and had not been tried before.

--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -5,10 +5,8 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"net/http/httptrace"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,10 +33,13 @@
 	// could not be applied is fetched again. It doubles each time.
 	minUnusableRetryDelay = 200 * time.Millisecond
 	maxUnusableRetryDelay = 10 * time.Second
-	// parallelFetchDelay is how long a fetch may go without the first byte of its response before the document
-	// is also fetched from another host, and maxParallelFetches limits the fetches that run at the same time.
-	// A response that has begun is given fetchTimeout: further ones over the same link would slow it down.
+	// parallelFetchDelay is how long a fetch may go without the head of its response before the document is
+	// also fetched from another host, and maxParallelFetches limits the fetches that run at the same time.
+	// A response that has begun is given begunFetchDelay: further ones over the same link would slow it down.
+	// It is shorter than fetchTimeout, so that one fetch after the other that gets no further takes less than that.
+	// Once maxParallelFetches run, one that has had fetchTimeout ends if a host has not been asked yet.
 	parallelFetchDelay = 150 * time.Millisecond
+	begunFetchDelay    = 600 * time.Millisecond
 	maxParallelFetches = 3
 )
 
@@ -77,6 +78,16 @@
 	return fmt.Sprintf("the control host has version %d, which is not above %d", e.Version, e.CurrentVersion)
 }
 
+// FetchDisplacedError reports that a fetch was ended to make room for one from another control host.
+type FetchDisplacedError struct {
+	BodyBytes  int64         // received
+	SilentTime time.Duration // since the last ones, or the start of the fetch
+}
+
+func (e *FetchDisplacedError) Error() string {
+	return fmt.Sprintf("the fetch made room for another control host: %d bytes received, nothing for %v", e.BodyBytes, e.SilentTime)
+}
+
 // fetcher fetches newer documents. It is not safe for concurrent use.
 type fetcher struct {
 	follower   *Follower
@@ -98,10 +109,9 @@
 
 // runningFetch is a fetch without a result.
 type runningFetch struct {
-	version   uint64 // that the host has announced
-	startedAt time.Time
-	receiving *atomic.Bool
-	cancel    context.CancelFunc
+	version  uint64 // that the host has announced
+	progress *fetchProgress
+	cancel   context.CancelCauseFunc
 }
 
 // fetchDocuments fetches newer documents until ctx ends.
@@ -151,7 +161,7 @@
 		switch {
 		case isRunning || x.failed[s.host] == s.announced || !anyDomain && !(s.live && s.local):
 		case len(x.running) == maxParallelFetches:
-			return x.cancelSilentFetches(now)
+			return x.makeRoom(now)
 		case len(x.running) > 0 && now.Before(x.nextStartAt()):
 			return x.nextStartAt()
 		default:
@@ -173,36 +183,47 @@
 	return x.retryAt
 }
 
-// cancelSilentFetches makes room for a fetch from another host: it cancels those that have brought nothing for
-// fetchTimeout. It returns when the next one will have, the zero time if all bring something.
-func (x *fetcher) cancelSilentFetches(now time.Time) (nextAt time.Time) {
+// makeRoom makes room for a fetch from another host: of the fetches that have had fetchTimeout it cancels the
+// one that has brought nothing for longest, or the slowest one if all have brought something within
+// fetchTimeout. It returns when the next fetch will have had that time, the zero time if one has.
+func (x *fetcher) makeRoom(now time.Time) (nextAt time.Time) {
+	var worst runningFetch
 	for _, r := range x.running {
-		silentAt := r.startedAt.Add(fetchTimeout)
+		dueAt := r.progress.startedAt.Add(fetchTimeout)
 		switch {
-		case r.receiving.Load():
-		case !now.Before(silentAt):
-			r.cancel()
-		case nextAt.IsZero() || silentAt.Before(nextAt):
-			nextAt = silentAt
+		case now.Before(dueAt):
+			if nextAt.IsZero() || dueAt.Before(nextAt) {
+				nextAt = dueAt
+			}
+		case worst.progress == nil || r.progress.isWorse(worst.progress, now):
+			worst = r
 		}
 	}
-	return nextAt
+	if worst.progress == nil {
+		return nextAt
+	}
+	worst.cancel(errors.WithStack(&FetchDisplacedError{BodyBytes: worst.progress.bodyBytes.Load(), SilentTime: now.Sub(worst.progress.receivedAt())}))
+	return time.Time{}
 }
 
 // nextStartAt returns when another fetch may start beside those that run.
 func (x *fetcher) nextStartAt() time.Time {
+	nextAt, latest := x.startedAt.Add(parallelFetchDelay), x.startedAt.Add(begunFetchDelay)
 	for _, r := range x.running {
-		if r.receiving.Load() {
-			return x.startedAt.Add(fetchTimeout)
+		if silentAt := r.progress.receivedAt().Add(begunFetchDelay); r.progress.headReceived.Load() && silentAt.After(nextAt) {
+			nextAt = silentAt
 		}
 	}
-	return x.startedAt.Add(parallelFetchDelay)
+	if nextAt.After(latest) {
+		return latest
+	}
+	return nextAt
 }
 
 // endSearch is called when no host has a newer document.
 func (x *fetcher) endSearch() {
 	for _, r := range x.running {
-		r.cancel()
+		r.cancel(nil)
 	}
 	clear(x.failed)
 	x.searchedAt, x.retryAt, x.retryDelay = time.Time{}, time.Time{}, minFetchRetryDelay
@@ -210,14 +231,15 @@
 
 // start starts a fetch.
 func (x *fetcher) start(ctx context.Context, s fetchSource) {
-	fetchCtx, cancel := context.WithTimeout(ctx, x.timeout)
+	timeoutCtx, cancelTimeout := context.WithTimeout(ctx, x.timeout)
+	fetchCtx, cancel := context.WithCancelCause(timeoutCtx)
 	x.startedAt = time.Now()
-	receiving := new(atomic.Bool)
-	fetchCtx = httptrace.WithClientTrace(fetchCtx, &httptrace.ClientTrace{GotFirstResponseByte: func() { receiving.Store(true) }})
-	x.running[s.host] = runningFetch{version: s.announced.version, startedAt: x.startedAt, receiving: receiving, cancel: cancel}
+	progress := &fetchProgress{startedAt: x.startedAt}
+	x.running[s.host] = runningFetch{version: s.announced.version, progress: progress, cancel: cancel}
 	x.fetches.Go(func() {
-		defer cancel()
-		r := fetchDocument(fetchCtx, s)
+		defer cancelTimeout()
+		defer cancel(nil)
+		r := fetchDocument(withProgress(fetchCtx, progress), s)
 		select {
 		case x.results <- r:
 		case <-ctx.Done():
@@ -259,7 +281,7 @@
 	}
 	for _, other := range x.running {
 		if other.version <= r.version {
-			other.cancel()
+			other.cancel(nil)
 		}
 	}
 }
@@ -273,7 +295,7 @@
 	x.unusableRetryDelay = min(2*x.unusableRetryDelay, maxUnusableRetryDelay)
 	for _, r := range x.running {
 		if r.version <= version {
-			r.cancel()
+			r.cancel(nil)
 		}
 	}
 }
@@ -331,6 +353,9 @@
 	response, err := s.host.client.Document(ctx, connect.NewRequest(&pb.DocumentRequest{}))
 	if err != nil {
 		r.err = err
+		if displaced := (*FetchDisplacedError)(nil); errors.As(context.Cause(ctx), &displaced) {
+			r.err = displaced
+		}
 		return r
 	}
 	r.version, r.bytes = response.Msg.Version, len(response.Msg.Content)
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -171,7 +171,7 @@
 			continue
 		}
 		hostCtx, cancel := context.WithCancel(ctx)
-		client := trefoilkeelv1connect.NewFleetServiceClient(f.options.HTTPClient, url, connect.WithReadMaxBytes(rpc.MaxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))
+		client := trefoilkeelv1connect.NewFleetServiceClient(progressClient{f.options.HTTPClient}, url, connect.WithReadMaxBytes(rpc.MaxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))
 		h := &host{url: url, client: client, cancel: cancel, liveChangedAt: time.Now()}
 		f.hosts[url] = h
 		group.Go(func() error { f.followHost(hostCtx, h); return nil })
--- a/internal/fleet/stalled_fetch_test.go
+++ b/internal/fleet/stalled_fetch_test.go
@@ -73,3 +73,36 @@
 		}
 	}
 }
+
+// Guards against a fetch over a slow link that ends for another host although one that brings less could.
+func TestFetchThatBringsLeastMakesRoom(t *testing.T) {
+	now := time.Now()
+	progress := func(age, silentTime time.Duration, bytes int64) *fetchProgress {
+		p := &fetchProgress{startedAt: now.Add(-age)}
+		p.bodyBytes.Store(bytes)
+		p.bodyDelay.Store(int64(age - silentTime))
+		return p
+	}
+	for name, test := range map[string]struct {
+		running   []*fetchProgress
+		displaced int // of running, -1 for none
+	}{
+		"the slowest":                     {[]*fetchProgress{progress(4*time.Second, 0, 4000), progress(time.Second, 0, 500), progress(2*time.Second, 0, 3000)}, 1},
+		"a stalled one before the slow":   {[]*fetchProgress{progress(4*time.Second, 0, 10), progress(2*time.Second, time.Second, 9000)}, 1},
+		"the one that stalled longest":    {[]*fetchProgress{progress(time.Second, time.Second, 0), progress(4*time.Second, 3*time.Second, 9000)}, 1},
+		"none that has not had its time":  {[]*fetchProgress{progress(4*time.Second, 0, 4000), progress(fetchTimeout/2, fetchTimeout/2, 0)}, 0},
+		"nobody while all began recently": {[]*fetchProgress{progress(fetchTimeout/2, fetchTimeout/2, 0)}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			displaced := -1
+			x := &fetcher{running: map[*host]runningFetch{}}
+			for i, p := range test.running {
+				x.running[&host{}] = runningFetch{progress: p, cancel: func(error) { displaced = i }}
+			}
+			nextAt := x.makeRoom(now)
+			g.Expect(displaced).To(Equal(test.displaced))
+			g.Expect(nextAt.IsZero()).To(Equal(displaced >= 0))
+		})
+	}
+}
