Take back a verdict whose endpoints are known to go on

A break counts after 0.8 s unless the endpoint has responded to an attempt sent 0.1 to 2 s after it. Responses that came after the verdict cleared the breaks, but not the verdict, and nothing else could: what it refuses isn't served any more. Now the control host that decided remembers the endpoints of a verdict and exonerates the key once fewer are left than the verdict needed, here and in its table. A verdict that the log has not stored yet stays until it has been, since its command may be under way. An entry without control hosts does the same.

The simulations of internal/quarantine pass unchanged: each crashing request and part is found as before.

--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -67,6 +67,9 @@
 			}
 			j.quarantined[part] = true
 		}
+		for _, key := range j.table.Unfounded(isQuarantined) {
+			delete(j.quarantined, key)
+		}
 		j.releaseAt = now.Add(isolationGrace)
 	case now.After(j.releaseAt):
 		j.quarantined = nil
--- a/internal/entry/isolation_test.go
+++ b/internal/entry/isolation_test.go
@@ -29,4 +29,9 @@
 	g.Expect(j.decide(after(8.1), false)).To(Equal(map[uint64]bool{99: true}))
 	g.Expect(j.decide(after(9), true)).To(Equal(map[uint64]bool{99: true}), "until the control hosts have judged")
 	g.Expect(j.decide(after(9).Add(isolationGrace), true)).To(BeEmpty())
+	g.Expect(j.decide(after(16), false)).To(Equal(map[uint64]bool{99: true}))
+	for i := range 3 {
+		j.add(after(16), fleet.AttemptOutcomes{Responses: []fleet.Response{{Endpoint: uint64(i), SentAt: after(float64(i) + 1)}}})
+	}
+	g.Expect(j.decide(after(16.1), false)).To(BeEmpty(), "three of its five endpoints go on")
 }
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -107,6 +107,12 @@
 	for _, part := range added {
 		k.unstored[part] = document.Quarantine
 	}
+	for _, key := range k.table.Unfounded(isQuarantined) {
+		// The command for one that the log has not stored yet may be under way: it stays until that is stored.
+		if byPart[key].Active {
+			k.unstored[key] = document.Exonerate
+		}
+	}
 	k.updateSince(now, stored)
 	changes = map[uint64]document.QuarantineChange{}
 	for part, change := range k.unstored {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -68,6 +68,7 @@
 	if sentAt.After(t.responses[endpoint]) {
 		t.responses[endpoint] = sentAt
 	}
+	t.clearVerdicts(endpoint, sentAt)
 	c := t.crashes[endpoint]
 	return c != nil && c.addResponse(sentAt)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,7 +6,8 @@
 // nothing. A part is quarantined if attempts with it broke at several endpoints one after
 // another, none that was sent since was served, and attempts without it are mostly served. A
 // request is quarantined if it was at several endpoints when they crashed, was never served,
-// and other requests of its service mostly are.
+// and other requests of its service mostly are. A verdict ends once too few of the endpoints that it rests
+// on have crashed: responses of the others may arrive after it.
 //
 // A Table has no clock, goroutine or I/O. It is not safe for concurrent use.
 package quarantine
@@ -122,11 +123,12 @@
 	servedDelays map[uint64]time.Duration // by key of a part: a decaying maximum of the time from sending an attempt to the report that it was served
 	broken       map[uint64]time.Time     // by key: when the newest broken attempt was sent, unless one sent later was served
 	servedCounts map[string][]servedCount // by service, oldest first
+	verdicts     map[uint64]*verdict      // by key: the decisions of this host
 	responses    map[uint64]time.Time     // by key of the endpoint's incarnation: when the newest attempt was sent to which it responded
 	now          time.Time                // the newest time passed to a method
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{crashes: map[uint64]*crash{}, served: map[uint64]time.Time{}, servedDelays: map[uint64]time.Duration{}, broken: map[uint64]time.Time{}, servedCounts: map[string][]servedCount{}, responses: map[uint64]time.Time{}}
+	return &Table{crashes: map[uint64]*crash{}, served: map[uint64]time.Time{}, servedDelays: map[uint64]time.Duration{}, broken: map[uint64]time.Time{}, servedCounts: map[string][]servedCount{}, verdicts: map[uint64]*verdict{}, responses: map[uint64]time.Time{}}
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -72,6 +72,7 @@
 			return decided
 		}
 		decided = append(decided, worst.key)
+		t.addVerdict(worst, offended(worst.key))
 		for endpoint := range worst.endpoints {
 			explained[endpoint] = true
 		}
@@ -190,16 +191,13 @@
 // the key that broke meanwhile is the probability that one of its breaks is chance. Crashes that
 // are explained already say nothing of a request.
 func (t *Table) suffices(s *suspicion, offended bool, explained map[uint64]bool) bool {
-	needed, maxChance := minSequentialBreaks, maxChanceProbability
-	if IsRequest(s.key) {
-		needed = minRequestCrashes
-		if !s.popular {
-			maxChance = maxRequestChance
-		}
+	needed, maxChance := neededCrashes(s.key, offended), maxChanceProbability
+	if IsRequest(s.key) && !s.popular {
+		maxChance = maxRequestChance
 	}
 	weight := s.breaks
 	if offended {
-		needed, weight = 1, s.breaks+priorOffenceBreaks
+		weight += priorOffenceBreaks
 	}
 	if s.breaks < needed || len(s.endpoints) < needed || IsRequest(s.key) && !offended && t.isAmongOthers(s, explained) {
 		return false
@@ -207,6 +205,18 @@
 	return math.Pow(t.chanceOfBreak(s, explained), float64(weight)) <= maxChance
 }
 
+// neededCrashes returns how many endpoints must have crashed for a verdict on a key.
+func neededCrashes(key uint64, offended bool) int {
+	switch {
+	case offended:
+		return 1
+	case IsRequest(key):
+		return minRequestCrashes
+	default:
+		return minSequentialBreaks
+	}
+}
+
 // isAmongOthers reports whether a request was at no more crashes than happened elsewhere in its
 // services meanwhile: those may all have another cause. Crashes at the same moment count once.
 func (t *Table) isAmongOthers(s *suspicion, explained map[uint64]bool) bool {
