Test that lost answers condemn no popular request

The test of popular parts now plays requests too, with the same load: 21 of 41 endpoints lose 5% of their answers and go on, a break is known at once and a served attempt 1.4 s after it was sent. The part is left alone, the request is condemned 1.4 s after answers begin to be lost.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -409,29 +409,40 @@
 	s.sendAttempt(simulatedAttempt{parts: parts}, time.Duration(headMS)*time.Millisecond, restMS)
 }
 
-// Guards against a verdict on a popular part while many endpoints lose a share of their answers and go
+// Guards against a verdict on a popular part or request while many endpoints lose a share of their answers and go
 // on: a broken attempt is known at once, a served one over a second later. The load: 21 of 41 endpoints
-// reset 5% of the answers, half of them with the part, and heads and served attempts are reported 0.9 and 1.4 s after the attempt was sent.
-func TestLostAnswersOfManyEndpointsCondemnNoPart(t *testing.T) {
-	g := NewWithT(t)
-	table := New()
-	const popular = 1
-	for now := time.Duration(0); now < 12*time.Second; now += 20 * time.Millisecond {
-		step := uint64(now / (20 * time.Millisecond))
-		table.CountServed(after(now), "", 8)
-		table.AddServed(popular, after(now-1400*time.Millisecond))
-		table.AddResponse(step%21, after(now-900*time.Millisecond))
-		if now >= 5*time.Second && step%4 == 0 {
-			parts := []uint64{popular, 100 + step}
-			if step%8 != 0 {
-				parts = []uint64{2 + step%7, 100 + step}
+// reset 5% of the answers, half of them with the key, and heads and served attempts are reported 0.9 and 1.4 s after the attempt was sent.
+func TestLostAnswersOfManyEndpointsCondemnNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		popular  uint64
+		evidence func(b *BrokenAttempt, key uint64)
+	}{
+		"part":    {1, func(b *BrokenAttempt, key uint64) { b.Parts = []uint64{key, 100 + uint64(b.BrokenAt.UnixMilli())} }},
+		"request": {RequestKey(1), func(b *BrokenAttempt, key uint64) { b.Request = RequestKey(key) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := New()
+			for now := time.Duration(0); now < 12*time.Second; now += 20 * time.Millisecond {
+				step := uint64(now / (20 * time.Millisecond))
+				table.CountServed(after(now), "", 8)
+				table.AddServed(test.popular, after(now-1400*time.Millisecond))
+				table.AddResponse(step%21, after(now-900*time.Millisecond))
+				if now >= 5*time.Second && step%4 == 0 {
+					key := test.popular
+					if step%8 != 0 {
+						key = 2 + step%7
+					}
+					b := BrokenAttempt{Endpoint: step * 5 % 21, SentAt: after(now - 100*time.Millisecond), BrokenAt: after(now)}
+					test.evidence(&b, key)
+					table.AddBroken(b, true)
+				}
+				if now%(100*time.Millisecond) == 0 {
+					table.Expire(after(now))
+					g.Expect(table.Decide(after(now), none, none)).To(BeEmpty(), "at %v", now)
+				}
 			}
-			table.AddBroken(BrokenAttempt{Endpoint: step * 5 % 21, SentAt: after(now - 100*time.Millisecond), BrokenAt: after(now), Parts: parts}, true)
-		}
-		if now%(100*time.Millisecond) == 0 {
-			table.Expire(after(now))
-			g.Expect(table.Decide(after(now), none, none)).To(BeEmpty(), "at %v", now)
-		}
+		})
 	}
 }
 
