Judge a popular request once what was served meanwhile is known

For prompt parts that were served shortly before, a break already counts later by the time that their attempts take; for requests it counted after 0.8 s.

Now both wait alike.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -128,20 +128,31 @@
 
 // addServedDelay adds how long after it was sent an attempt is known to be served.
 func (t *Table) addServedDelay(key uint64, sentAt time.Time) {
-	if !IsRequest(key) {
-		old := t.servedDelays[key]
-		t.servedDelays[key] = max(t.now.Sub(sentAt), old-old/servedDelayDecay)
+	old := t.servedDelays[key]
+	t.servedDelays[key] = max(t.now.Sub(sentAt), old-old/servedDelayDecay)
+}
+
+// isSettled reports whether a break of a crash counts: what shows that it was no crash has arrived. The
+// requests of a crash are judged together, since the one that is to blame may be one of those that take longer.
+func (t *Table) isSettled(key uint64, c *crash, b *BrokenAttempt) bool {
+	delay := t.settleDelay(key, b)
+	if IsRequest(key) {
+		for i := range c.breaks {
+			if other := &c.breaks[i]; other.Request != 0 && !t.isRefuted(other.Request, other) {
+				delay = max(delay, t.settleDelay(other.Request, other))
+			}
+		}
 	}
+	return t.now.Sub(b.BrokenAt) >= delay
 }
 
-// isSettled reports whether a break counts: what shows that it was no crash has arrived. If a part was
-// served shortly before, an attempt that was sent settleDelay later could have been served as well.
-func (t *Table) isSettled(key uint64, b *BrokenAttempt) bool {
-	age := t.now.Sub(b.BrokenAt)
-	if IsRequest(key) || !t.wasServedBefore(key, b.SentAt) {
-		return age >= settleDelay
+// settleDelay returns how long a break waits until it counts. If the key was served shortly before, an
+// attempt that was sent settleDelay later could have been served as well.
+func (t *Table) settleDelay(key uint64, b *BrokenAttempt) time.Duration {
+	if !t.wasServedBefore(key, b.SentAt) {
+		return settleDelay
 	}
-	return age >= settleDelay+min(t.servedDelays[key], maxServedDelay)
+	return settleDelay + min(t.servedDelays[key], maxServedDelay)
 }
 
 // LastServed returns when the newest attempt with a key was sent that was served.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,7 +62,7 @@
 	// count: if all endpoints of a small service crash, nothing is served between the crashes.
 	requestBaseline = 30 * time.Second
 	// recentlyServed is how long before its first break a request must not have been served. A
-	// request that was has breaks that overlap counted once, as those of a part. A break of a part
+	// request that was has breaks that overlap counted once, as those of a part. A break of either
 	// that was counts only once an attempt sent after it could have been served.
 	recentlyServed = 10 * time.Second
 	// eventGap separates crashes that are not at the same moment. A crash of many endpoints by one
@@ -74,8 +74,8 @@
 	// respondedSpan is how much later at most. It is shorter than a restart, after which another
 	// incarnation may respond under the same ID.
 	respondedSpan = 2 * time.Second
-	// maxServedDelay bounds the further wait for a part that was served shortly before. A part that begins
-	// to crash endpoints does so all the while.
+	// maxServedDelay bounds the further wait for a part or request that was served shortly before. One that
+	// begins to crash endpoints does so all the while.
 	maxServedDelay = 2 * time.Second
 	// servedDelayDecay is the divisor of the share that the maximum of delays loses with each served attempt.
 	servedDelayDecay = 8
@@ -120,7 +120,7 @@
 type Table struct {
 	crashes      map[uint64]*crash        // by key of the endpoint's incarnation
 	served       map[uint64]time.Time     // by key: when the newest served attempt was sent
-	servedDelays map[uint64]time.Duration // by key of a part: a decaying maximum of the time from sending an attempt to the report that it was served
+	servedDelays map[uint64]time.Duration // by key: a decaying maximum of the time from sending an attempt to the report that it was served
 	broken       map[uint64]time.Time     // by key: when the newest broken attempt was sent, unless one sent later was served
 	servedCounts map[string][]servedCount // by service, oldest first
 	verdicts     map[uint64]*verdict      // by key: the decisions of this host
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -240,3 +240,22 @@
 	}
 	g.Expect(table.Decide(after(5*time.Second), none, none)).To(BeEmpty(), "all endpoints go on")
 }
+
+// Guards against a popular request that begins to crash endpoints and goes unseen, or is judged later than a sound
+// one that was at the same crashes.
+func TestPopularRequestThatBeginsToCrashIsFound(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(8) {
+		s := newRequestSimulation(seed, 12)
+		s.reportHeads = true
+		for s.now < 14*time.Second {
+			s.sendRequests(240)
+			if s.now%(200*time.Millisecond) == 0 {
+				s.sendOne(simulatedAttempt{request: crashingRequest, crashesPart: s.now > 6*time.Second})
+			}
+			s.advance()
+		}
+		g.Expect(s.quarantined).To(Equal(map[uint64]bool{crashingRequest: true}), "seed %d", seed)
+		g.Expect(s.late).To(BeZero(), "seed %d", seed)
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -151,7 +151,7 @@
 // addSuspicion adds a broken attempt of a crash to the evidence against one of its keys, unless it
 // is refuted, not settled or the endpoint went on.
 func (t *Table) addSuspicion(all map[uint64]*suspicion, key uint64, position int, c *crash, b *BrokenAttempt) {
-	if t.isRefuted(key, b) || !t.isSettled(key, b) || c.respondedSince(b.BrokenAt) {
+	if t.isRefuted(key, b) || !t.isSettled(key, c, b) || c.respondedSince(b.BrokenAt) {
 		return
 	}
 	s := all[key]
