Give an answer time to be written after a pause of the process

A caller could get neither an answer nor a refusal: the time to write a response ends a second after the deadline of its request, and is set when the request begins. If the process of the entry pauses past both while the endpoint answers, the answer may be read before the deadline is noticed, and then no byte over the server's buffer of 4 KB can be written: the connection ends with its request.

The head of a response that is written after the deadline now has a second of its own.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -289,11 +289,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errTimedOut)
 	defer cancel()
-	// A caller that stops reading must not keep its request open past the deadline.
-	// Writers without deadlines, as in tests, return an error that is ignored.
-	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(r.Deadline.Add(writeGrace))
-	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	limitWriting(w, r.Deadline)
+	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	rt.creditRetryBudget(r.ReceivedAt, r.Service)
 	rt.options.Metrics.AddToCounter(metrics.ClassOfferedPrefix+r.Route.Name, 1)
 	a := &activeRequest{Router: rt, request: r, fingerprint: fingerprint(r), writer: w, attempts: retry.Attempts{
@@ -309,5 +306,11 @@
 // written.
 const writeGrace = time.Second
 
+// limitWriting limits how long the response may be written: a caller that stops reading must not keep its
+// request open past the deadline. Writers without deadlines, as in tests, return an error that is ignored.
+func limitWriting(w http.ResponseWriter, deadline time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // errTimedOut is the cancellation cause of a context whose deadline has passed.
 var errTimedOut = &RequestError{Reason: TimedOut, Detail: "the request's time is over"}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -51,6 +51,9 @@
 	if len(h["Content-Type"]) == 0 {
 		h["Content-Type"] = nil // else net/http derives one from the body
 	}
+	if now := time.Now(); now.After(a.request.Deadline) {
+		limitWriting(a.writer, now) // this process may have paused for longer than writeGrace
+	}
 	a.writtenStatus = response.StatusCode
 	a.writer.WriteHeader(response.StatusCode)
 }
