Show that a changed list of hosts to join through is lost during an opening

A host whose data folder is just being opened when its settings change goes on to ask the former hosts for its admission. With an empty folder, and those hosts replaced, it stays out until the settings change again.

--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -33,7 +34,10 @@
 }
 
 // startLogHosts starts control hosts that form a cluster and end with the test.
-func startLogHosts(t *testing.T, count int) []*logHost {
+func startLogHosts(t *testing.T, count int) []*logHost { return startAdjustedLogHosts(t, count, nil) }
+
+// startAdjustedLogHosts is startLogHosts; adjust may change the options of each host.
+func startAdjustedLogHosts(t *testing.T, count int, adjust func(*replica.Options)) []*logHost {
 	var members []replica.Member
 	var listeners []*httptest.Server
 	for i := range count {
@@ -49,8 +53,12 @@
 	var hosts []*logHost
 	for i, server := range listeners {
 		folder := t.TempDir()
-		h := &logHost{folder: folder, ReplicaSupervisor: NewReplicaSupervisor(replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: folder, SelfURL: members[i].URL,
-			InitialMembers: members, Bootstrap: true, MinVoters: count, HTTPClient: rpc.Client(nil), Logger: discardLogger})}
+		options := replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: folder, SelfURL: members[i].URL,
+			InitialMembers: members, Bootstrap: true, MinVoters: count, HTTPClient: rpc.Client(nil), Logger: discardLogger}
+		if adjust != nil {
+			adjust(&options)
+		}
+		h := &logHost{folder: folder, ReplicaSupervisor: NewReplicaSupervisor(options)}
 		hosts = append(hosts, h)
 		server.Config.Handler = h.Handler("/")
 		server.Start()
@@ -165,3 +173,48 @@
 		})
 	}
 }
+
+// openingHandler calls a function once a data folder has been opened, before its log is run.
+type openingHandler struct {
+	slog.Handler
+	opened func()
+}
+
+func (h openingHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h openingHandler) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "replica opened" {
+		h.opened()
+	}
+	return nil
+}
+
+// Guards against a host that goes on to ask hosts that are gone for its admission, because the list changed while its
+// data folder was being opened.
+func TestHostsToJoinThroughMayChangeDuringAnOpening(t *testing.T) {
+	g := NewWithT(t)
+	asked := make(chan struct{}, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+	}))
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	var s *ReplicaSupervisor
+	handler := openingHandler{discardLogger.Handler(), func() {
+		_ = s.SetJoinMembers(context.Background(), []replica.Member{{ID: 3, URL: server.URL}})
+	}}
+	client := rpc.Client(nil)
+	defer client.CloseIdleConnections()
+	s = NewReplicaSupervisor(replica.Options{ID: 1, ClusterName: "c", DataDir: t.TempDir(), SelfURL: "http://127.0.0.1:1", MinVoters: 1,
+		InitialMembers: []replica.Member{{ID: 2, URL: "http://127.0.0.1:1"}}, HTTPClient: client, Logger: slog.New(handler)})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	g.Eventually(asked, reopenTimeout).Should(Receive())
+}
