Pass on the hosts to join through that change during an opening

A host asked hosts that are gone for its admission after its settings had changed, until they changed again.

Cause: the list is read when the opening of the data folder begins, and a change reaches the running log only once the opening is published. One in between is stored, but passed on to neither.

The opening now compares the list again once it is published. TestHostsToJoinThroughMayChangeDuringAnOpening, which failed in each run, passes 5 of 5 under the race detector.

--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -111,8 +111,8 @@
 // runOnce opens the replica and runs it until it fails. It reports whether the data folder was opened, which was closed
 // at closedAt.
 func (s *ReplicaSupervisor) runOnce(ctx context.Context, closedAt time.Time) (opened bool, err error) {
-	options := s.options
-	options.InitialMembers = *s.joinMembers.Load()
+	options, members := s.options, s.joinMembers.Load()
+	options.InitialMembers = *members
 	var restored *document.StateMachine // by Open
 	options.NewStateMachine = func() replica.StateMachine {
 		machine := document.New()
@@ -146,6 +146,13 @@
 	} else {
 		publish(nil)
 	}
+	if s.joinMembers.Load() != members { // changed before this opening was published
+		confirms.Go(func() {
+			if err := r.SetJoinMembers(ctx, *s.joinMembers.Load()); err != nil {
+				s.logger.Warn("hosts to join through not updated", "error", err)
+			}
+		})
+	}
 	defer func() {
 		cancel()
 		confirms.Wait()
