Show that a late verdict brings a host back to a closed opening of its data folder

A request with digests that is under way when a data folder is closed may call the copy of that opening odd once the folder is open again. The host then goes on with the closed opening: it takes no change, and answers no other host, until its folder fails and is opened once more. The test sends such a request and fails.

--- a/internal/fleet/odd_copy_test.go
+++ b/internal/fleet/odd_copy_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"hash/crc32"
+	"net/http/httptest"
 	"testing"
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/digest"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/duty"
@@ -75,6 +79,39 @@
 	}
 }
 
+// Guards against a host that goes back to a closed opening of its data folder, and takes no change any more, because a
+// request that was under way when the folder was closed then calls that opening's copy odd.
+func TestLateVerdictOnAClosedOpeningChangesNothing(t *testing.T) {
+	g, ctx := NewWithT(t), context.Background()
+	hosts := startLogHosts(t, 3)
+	proposeRenewals(g, hosts[0])
+	expectEqualCopies(g, hosts)
+	closed := hosts[0].running()
+	server := httptest.NewServer(closed.handler)
+	defer server.Close()
+	peer := trefoilkeelv1connect.NewPeerServiceClient(server.Client(), server.URL)
+	var state *connect.Response[pb.StateResponse]
+	g.Eventually(func() (err error) {
+		state, err = peer.State(ctx, connect.NewRequest(&pb.StateRequest{Cluster: "c"}))
+		return err
+	}, reopenTimeout).Should(Succeed())
+
+	hosts[0].fillDisk(g)
+	hosts[1].propose(g, document.EncodeCommand(3, []byte("three")))
+	g.Eventually(func() bool { o := hosts[0].running(); return o != nil && o.Replica != closed.Replica }, reopenTimeout, "5ms").Should(BeTrue())
+	digests := state.Msg.Digests
+	digests.Groups[0].Sums[0]++
+	digests.Groups[0].Hosts = []uint64{2, 3}
+	encoded, err := proto.Marshal(digests)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = peer.Step(ctx, connect.NewRequest(&pb.StepRequest{From: 2, To: 1, Cluster: "c", Digests: encoded,
+		DigestsChecksum: crc32.Checksum(encoded, crc32.MakeTable(crc32.Castagnoli))}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(closed.CopyOdd()).To(HaveOccurred())
+	g.Expect(hosts[0].running().Replica == closed.Replica).To(BeFalse(), "the host is back at the closed opening")
+	hosts[0].propose(g, document.EncodeCommand(4, []byte("four")))
+}
+
 // oddState is a host whose copy differs and is not restored.
 type oddState struct{ replaced chan struct{} }
 
