Leave a verdict out that comes after its opening of the data folder was closed

A control host could take no change and answer no other host, with all of its processes running, until its data folder failed once more: after a reopening it went on with the closed opening.

Cause: Run does not wait for requests that are under way. One with digests could call the closed opening's copy odd after the folder was open again, and the state that was withdrawn then took the place of the new opening, with the closed replica. It also set the gauge state.odd, which nothing would have taken back.

Each opening now publishes nothing any more once it is closed, under the lock of what is published, and a verdict on a replica that has stopped neither withdraws a state nor sets the gauge. It still counts for the next opening.

The test waits until all three hosts vote now, without which the verdict has no majority.

--- a/internal/fleet/odd_copy_test.go
+++ b/internal/fleet/odd_copy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/crc32"
 	"net/http/httptest"
+	"slices"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -86,6 +87,10 @@
 	hosts := startLogHosts(t, 3)
 	proposeRenewals(g, hosts[0])
 	expectEqualCopies(g, hosts)
+	g.Eventually(func() bool {
+		members := hosts[0].Status().Members
+		return len(members) == 3 && !slices.ContainsFunc(members, func(m replica.Member) bool { return !m.IsVoter })
+	}, reopenTimeout).Should(BeTrue())
 	closed := hosts[0].running()
 	server := httptest.NewServer(closed.handler)
 	defer server.Close()
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -135,8 +135,14 @@
 	_, handler := r.Handler()
 	ctx, cancel := context.WithCancel(ctx)
 	var confirms sync.WaitGroup
+	closed := false // guarded by publishing
 	publish = func(machine *document.StateMachine) {
-		o := s.publish(opening{Replica: r, handler: handler, machine: machine})
+		s.publishing.Lock()
+		defer s.publishing.Unlock()
+		if closed { // the copy was given up in a request that outlives this opening
+			return
+		}
+		o := s.replace(opening{Replica: r, handler: handler, machine: machine})
 		if machine != nil {
 			confirms.Go(func() { s.confirm(ctx, o) })
 		}
@@ -154,9 +160,12 @@
 		})
 	}
 	defer func() {
+		s.publishing.Lock()
+		closed = true
+		s.replace(opening{})
+		s.publishing.Unlock()
 		cancel()
 		confirms.Wait()
-		s.publish(opening{})
 		s.setOpen(0)
 	}()
 	return true, r.Run(ctx)
@@ -174,13 +183,6 @@
 	}
 }
 
-// publish makes an opening take the place of the present one.
-func (s *ReplicaSupervisor) publish(o opening) *opening {
-	s.publishing.Lock()
-	defer s.publishing.Unlock()
-	return s.replace(o)
-}
-
 // replace makes an opening take the place of the present one. The caller holds the lock publishing.
 func (s *ReplicaSupervisor) replace(o opening) *opening {
 	o.replaced = make(chan struct{})
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -125,6 +125,11 @@
 	if !r.copyOdd.CompareAndSwap(nil, odd) {
 		return
 	}
+	select {
+	case <-r.stopped: // found in a request that outlives this opening of the data folder
+		return
+	default:
+	}
 	r.options.OnState(nil)
 	r.setGauge(metrics.StateOdd, 1)
 	if odd.Restored > 0 {
