Play failed batches that are stored, cut directions and transfers beside full disks

A write may fail after the batch has reached the disk. The histories of full disks now store a quarter of the failed batches, whose messages are never sent, cut hosts in one direction or both, and hand leaderships over.

--- a/internal/consensus/full_disk_test.go
+++ b/internal/consensus/full_disk_test.go
@@ -32,7 +32,9 @@
 	reopenAt    time.Duration // of a host whose folder is closed
 	reopenDelay time.Duration
 	pausedUntil time.Duration // of the whole process
-	cutUntil    time.Duration // of all links
+	cutUntil    time.Duration // of its links
+	hears       bool          // while it is cut
+	isHeard     bool          // while it is cut
 	restartAt   time.Duration // of a process that has ended, 0 if it runs
 	isNew       bool          // a new folder that does not vote yet
 }
@@ -110,7 +112,7 @@
 			for i := 0; i < len(d.messages); {
 				m := d.messages[i]
 				switch to, from := d.disks[d.hosts[m.To-1]], d.disks[d.hosts[m.From-1]]; {
-				case d.now < to.cutUntil || d.now < from.cutUntil:
+				case d.now < to.cutUntil && !to.hears, d.now < from.cutUntil && !from.isHeard:
 					d.messages = append(d.messages[:i:i], d.messages[i+1:]...)
 				case d.now < to.pausedUntil || d.rng.IntN(3) == 0:
 					i++
@@ -152,7 +154,11 @@
 func (d *diskHistory) write(h *testHost) {
 	disk := d.disks[h]
 	if h.running && h.pendingWrite != nil && d.now < disk.fullUntil {
-		d.logf("host %d closes its folder, role %d", h.id, h.node.role)
+		stored := d.rng.IntN(4) == 0 // the failure was reported after the batch was on the disk
+		d.logf("host %d closes its folder, role %d, batch stored %v", h.id, h.node.role, stored)
+		if stored {
+			h.store(h.pendingWrite)
+		}
 		d.crash(h)
 		disk.reopenAt, disk.reopenDelay = d.now+minReopenDelay, 2*minReopenDelay
 		return
@@ -221,8 +227,8 @@
 		d.logf("host %d paused for %s", h.id, span)
 		disk.pausedUntil = d.now + span
 	case 1:
-		d.logf("host %d cut for %s", h.id, span)
-		disk.cutUntil = d.now + span
+		disk.cutUntil, disk.hears, disk.isHeard = d.now+span, d.rng.IntN(4) == 0, d.rng.IntN(4) == 0
+		d.logf("host %d cut for %s, hears %v, is heard %v", h.id, span, disk.hears, disk.isHeard)
 	case 2:
 		d.logf("host %d killed for %s", h.id, span)
 		d.crash(h)
@@ -272,6 +278,9 @@
 		if d.faults() < tolerated && d.rng.IntN(6) == 0 {
 			d.addFault()
 		}
+		if leader := d.activeLeader(); leader != nil && d.rng.IntN(30) == 0 {
+			_ = leader.node.TransferLeadership(d.localTime(leader), 0)
+		}
 		if d.formed && d.rng.IntN(20) == 0 { // one that is the first voter takes the forming cluster with it
 			if h := d.hosts[d.rng.IntN(len(d.hosts))]; h.node.cfg.Ephemeral && h.running {
 				d.logf("ephemeral host %d ends", h.id)
