--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -111,8 +111,8 @@
 // runOnce opens the replica and runs it until it fails. It reports whether the data folder was opened, which was closed
 // at closedAt.
 func (s *ReplicaSupervisor) runOnce(ctx context.Context, closedAt time.Time) (opened bool, err error) {
-	options := s.options
-	options.InitialMembers = *s.joinMembers.Load()
+	options, members := s.options, s.joinMembers.Load()
+	options.InitialMembers = *members
 	var restored *document.StateMachine // by Open
 	options.NewStateMachine = func() replica.StateMachine {
 		machine := document.New()
@@ -135,9 +135,15 @@
 	_, handler := r.Handler()
 	ctx, cancel := context.WithCancel(ctx)
 	var confirms sync.WaitGroup
+	closed := false // guarded by publishing
 	publish = func(machine *document.StateMachine) {
-		o := s.publish(ctx, opening{Replica: r, handler: handler, machine: machine})
-		if o != nil && machine != nil {
+		s.publishing.Lock()
+		defer s.publishing.Unlock()
+		if closed { // the copy was given up in a request that outlives this opening
+			return
+		}
+		o := s.replace(opening{Replica: r, handler: handler, machine: machine})
+		if machine != nil {
 			confirms.Go(func() { s.confirm(ctx, o) })
 		}
 	}
@@ -146,10 +152,20 @@
 	} else {
 		publish(nil)
 	}
+	if s.joinMembers.Load() != members { // changed before this opening was published
+		confirms.Go(func() {
+			if err := r.SetJoinMembers(ctx, *s.joinMembers.Load()); err != nil {
+				s.logger.Warn("hosts to join through not updated", "error", err)
+			}
+		})
+	}
 	defer func() {
-		cancel() // from now on, the closed replica publishes nothing
+		s.publishing.Lock()
+		closed = true
+		s.replace(opening{})
+		s.publishing.Unlock()
+		cancel()
 		confirms.Wait()
-		s.publish(context.Background(), opening{})
 		s.setOpen(0)
 	}()
 	return true, r.Run(ctx)
@@ -167,16 +183,6 @@
 	}
 }
 
-// publish makes an opening take the place of the present one. It returns nil and does nothing if ctx has ended.
-func (s *ReplicaSupervisor) publish(ctx context.Context, o opening) *opening {
-	s.publishing.Lock()
-	defer s.publishing.Unlock()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return s.replace(o)
-}
-
 // replace makes an opening take the place of the present one. The caller holds the lock publishing.
 func (s *ReplicaSupervisor) replace(o opening) *opening {
 	o.replaced = make(chan struct{})
