Ask all voters for a state while one of them doesn't answer

A host whose copy of the state differs stayed out longer for each voter that was silent: it asked one voter after the other, up to 10 s each, first for a state and then for the digest that confirms it. The next voter is asked a second later as well, and all are asked for the digest at once, until a majority has it.

The new spec (five voters, the first one to be asked leaves the call unread) had no state within 5 s before, and fetches one now: the spec with its cluster takes 3 s (race detector, beside other work).

--- a/internal/replica/digests_test.go
+++ b/internal/replica/digests_test.go
@@ -364,6 +364,18 @@
 		Expect(connect.CodeOf(err)).To(Equal(connect.CodeNotFound), "a host that does not act on its state")
 	})
 
+	// Guards against an odd copy that stays out because one voter is silent.
+	It("fetch a state while another voter leaves calls for its own unanswered", func() {
+		c, _ := newComparedCluster(GinkgoTB(), 5, nil)
+		c.proposeMany(c.waitForLeader().id, "before")
+		c.waitUntilCompared(0)
+		c.hosts[1].stalls.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), repairTimeout/2)
+		defer cancel()
+		_, err := c.hosts[5].replica.fetchState(ctx)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("leave hosts of another build and of another format alone", func() {
 		c, logs := newComparedCluster(GinkgoTB(), 5, func(o *Options) {
 			inner := o.NewStateMachine
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -19,6 +19,7 @@
 const (
 	repairInterval = 200 * time.Millisecond
 	repairTimeout  = 10 * time.Second // of one call to another host
+	repairAskDelay = time.Second      // until the next host is asked as well
 	// handOverTimeout limits how long an odd leader goes on to tell the others why it steps down.
 	handOverTimeout = 500 * time.Millisecond
 )
@@ -195,20 +196,39 @@
 	return nil
 }
 
-// fetchState returns a state whose digest a majority of the voters shares.
+// fetchState returns a state whose digest a majority of the voters shares. It asks one voter after the other, the next one
+// also while those before have not answered.
 func (r *Replica) fetchState(ctx context.Context) (*rebuild, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	voters := r.voterIDs()
+	others := slices.DeleteFunc(slices.Clone(voters), func(id uint64) bool { return id == r.options.ID })
+	type result struct {
+		state *rebuild
+		err   error
+	}
+	results := make(chan result, len(others))
 	err := error(&noStateError{reason: "no other voter is known"})
-	for _, host := range voters {
-		if host == r.options.ID {
-			continue
-		}
-		var state *rebuild
-		if state, err = r.fetchStateFrom(ctx, host); err != nil {
-			continue
+	for asked, failed := 0, 0; failed < len(others); {
+		if asked < len(others) {
+			host := others[asked]
+			asked++
+			go func() {
+				state, err := r.fetchStateFrom(ctx, host)
+				if err == nil {
+					err = r.confirmState(ctx, state, host, voters)
+				}
+				results <- result{state, err}
+			}()
 		}
-		if err = r.confirmState(ctx, state, host, voters); err == nil {
-			return state, nil
+		select {
+		case got := <-results:
+			if got.err == nil {
+				return got.state, nil
+			}
+			err = got.err
+			failed++
+		case <-time.After(repairAskDelay):
 		}
 	}
 	return nil, err
@@ -239,16 +259,26 @@
 	return &rebuild{want: own, machine: machine, done: make(chan struct{})}, nil
 }
 
-// confirmState succeeds if a majority of the voters has the digest of a state of one of them.
+// confirmState succeeds once a majority of the voters has the digest of a state of one of them.
 func (r *Replica) confirmState(ctx context.Context, state *rebuild, from uint64, voters []uint64) error {
-	agree := 1
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan bool, len(voters))
+	asked := 0
 	for _, host := range voters {
 		if host == from || host == r.options.ID {
 			continue
 		}
-		response, err := r.askState(ctx, host, state.want.Index)
-		if err == nil && response.Digests.Index == state.want.Index && response.Digests.Format == state.want.Format &&
-			slices.Equal(sumsFromProto(response.Digests.Groups[0].Sums), state.want.Sums) {
+		asked++
+		go func() {
+			response, err := r.askState(ctx, host, state.want.Index)
+			answers <- err == nil && response.Digests.Index == state.want.Index && response.Digests.Format == state.want.Format &&
+				slices.Equal(sumsFromProto(response.Digests.Groups[0].Sums), state.want.Sums)
+		}()
+	}
+	agree := 1
+	for ; asked > 0 && 2*agree <= len(voters); asked-- {
+		if <-answers {
 			agree++
 		}
 	}
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/consensus"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
@@ -115,7 +116,7 @@
 	disk     *failingStore
 	ended    chan struct{} // closed once the replica has ended with err
 	err      error
-	stalls   atomic.Bool                  // leaves calls of more than stalledBytes unread
+	stalls   atomic.Bool                  // leaves calls for its state and those of more than stalledBytes unread
 	stalled  atomic.Bool                  // it has
 	silent   atomic.Pointer[net.Listener] // a peer in the place of all others, see startSilentPeer
 }
@@ -211,7 +212,7 @@
 	h.replica.journal = h.disk
 	path, handler := h.replica.Handler()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		if h.stalls.Load() && r.ContentLength > stalledBytes {
+		if h.stalls.Load() && (r.ContentLength > stalledBytes || r.URL.Path == trefoilkeelv1connect.PeerServiceStateProcedure) {
 			h.stalled.Store(true)
 			<-r.Context().Done()
 			return
