Show fetches that all end for others, and offences that a wrong verdict makes forgotten

Operators would see a configuration that never comes into force over a slow link while versions change, with more than three control hosts; and a request that crashed endpoints before needs three further crashes after one wrong verdict.

--- a/internal/fleet/fetch_test.go
+++ b/internal/fleet/fetch_test.go
@@ -31,6 +31,7 @@
 	fetches       atomic.Int64
 	bodyDelay     time.Duration // between the head and the body of responses to fetches
 	dripInterval  time.Duration // between the bytes of responses to fetches, which then don't end
+	slowTime      time.Duration // that the body of a response to a fetch takes, evenly
 
 	mu      sync.Mutex
 	version uint64        // that it announces
@@ -44,7 +45,7 @@
 	path, handler := trefoilkeelv1connect.NewFleetServiceHandler(h)
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		if h.bodyDelay+h.dripInterval > 0 && r.URL.Path == trefoilkeelv1connect.FleetServiceDocumentProcedure {
+		if h.bodyDelay+h.dripInterval+h.slowTime > 0 && r.URL.Path == trefoilkeelv1connect.FleetServiceDocumentProcedure {
 			h.writeSlowly(w, r)
 			return
 		}
@@ -133,6 +134,13 @@
 	w.Header().Set("Content-Type", "application/proto")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
+	for i := 0; h.slowTime > 0 && i < len(body) && wait.For(r.Context(), h.slowTime/time.Duration(len(body))); i++ {
+		_, _ = w.Write(body[i : i+1])
+		_ = http.NewResponseController(w).Flush()
+	}
+	if h.slowTime > 0 {
+		return
+	}
 	for h.dripInterval > 0 && r.Context().Err() == nil {
 		_, _ = w.Write(body[:1])
 		_ = http.NewResponseController(w).Flush()
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -235,3 +235,21 @@
 		})
 	}
 }
+
+// Guards against a wrong verdict on a part that offended before, whose end makes its earlier offences forgotten: it
+// would have to crash three endpoints again.
+func TestEndOfAWrongVerdictKeepsEarlierOffences(t *testing.T) {
+	g := NewWithT(t)
+	start, request := time.Unix(1_800_000_000, 0), quarantine.RequestKey(7)
+	after := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	k := newQuarantineKeeper()
+	k.add(start, "e", AttemptOutcomes{ServedAttempts: map[string]int{"s": 200}})
+	k.add(after(100), "e", AttemptOutcomes{Broken: []quarantine.BrokenAttempt{{Endpoint: 1, SentAt: start, BrokenAt: after(100), Request: request, Service: "s"}}})
+	_, added := k.decide(after(4000), []document.QuarantinedPart{{Part: request, Offences: 1}})
+	g.Expect(added).To(Equal([]uint64{request}))
+	stored := []document.QuarantinedPart{{Part: request, Active: true, Offences: 2}}
+	k.decide(after(4100), stored)
+	k.add(after(4200), "e", AttemptOutcomes{Responses: []Response{{Endpoint: 1, SentAt: after(1500)}}})
+	changes, _ := k.decide(after(4300), stored)
+	g.Expect(changes).To(Equal(map[uint64]document.QuarantineChange{request: document.Release}))
+}
--- a/internal/fleet/stalled_fetch_test.go
+++ b/internal/fleet/stalled_fetch_test.go
@@ -1,11 +1,15 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/wait"
 )
 
 // Guards against hosts that stall after the head of their response, which keep a live host from being asked.
@@ -106,3 +110,32 @@
 		})
 	}
 }
+
+// Guards against fetches over slow links that all end for ones from further hosts, again and again while versions change.
+func TestSlowFetchesGoOnWhileVersionsChange(t *testing.T) {
+	g := NewWithT(t)
+	var hosts []*scriptedHost
+	for range 2 * maxParallelFetches {
+		h := startScriptedHost(t, "a")
+		h.slowTime = 3 * fetchTimeout
+		hosts = append(hosts, h)
+	}
+	_, c := followScripted(t, hosts...)
+	announce := func(version uint64) {
+		for _, h := range hosts {
+			h.announceVersion(version)
+		}
+	}
+	announce(1)
+	g.Eventually(versionInForce(c), "30s", "10ms").Should(BeEquivalentTo(1), "by then fetches have more time")
+	ctx, stop := context.WithCancel(context.Background())
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for version := uint64(2); wait.For(ctx, fetchTimeout); version++ {
+			announce(version)
+		}
+	})
+	defer changes.Wait()
+	defer stop()
+	g.Eventually(versionInForce(c), "10s", "10ms").Should(BeNumerically(">", 1))
+}
