Keep the earlier offences of a request whose newest verdict was wrong

A request or part that crashed endpoints before is quarantined again after one crash. If that endpoint goes on, the verdict was ended by an exoneration, which also made the offences before it forgotten: the next time it took three crashed endpoints. Such a verdict is released instead.

--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -107,14 +107,17 @@
 	for _, part := range added {
 		k.unstored[part] = document.Quarantine
 	}
+	changes = map[uint64]document.QuarantineChange{}
 	for _, key := range k.table.Unfounded(isQuarantined) {
 		// The command for one that the log has not stored yet may be under way: it stays until that is stored.
-		if byPart[key].Active {
+		switch state := byPart[key]; {
+		case state.Active && state.Offences > 1:
+			changes[key] = document.Release // the offences before this one stand
+		case state.Active:
 			k.unstored[key] = document.Exonerate
 		}
 	}
 	k.updateSince(now, stored)
-	changes = map[uint64]document.QuarantineChange{}
 	for part, change := range k.unstored {
 		if change == document.Exonerate || hasQuarantineRoom(stored) {
 			changes[part] = change
