Keep one of the fetches that bring something while others make room

With more than three control hosts, fetches over a slow link all ended for fetches from further hosts as soon as they had had 0.7 s, also the one that had brought most, and each new version made all hosts candidates again. Now the one with most bytes stays, and at most one that brings something ends in 0.7 s; silent ones end at once as before.

--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -97,10 +97,12 @@
 	failed     map[*host]fetchAnnouncement // since the last pause
 	searchedAt time.Time                   // when a newer document was first seen, zero if there is none
 	startedAt  time.Time                   // of the newest fetch that has not failed
-	retryAt    time.Time                   // end of the pause, zero without one
-	retryDelay time.Duration
-	timeout    time.Duration // of a fetch
-	timedOut   bool          // a fetch since the last pause
+	// displacedAt is when a fetch that brought something was cancelled for another one.
+	displacedAt time.Time
+	retryAt     time.Time // end of the pause, zero without one
+	retryDelay  time.Duration
+	timeout     time.Duration // of a fetch
+	timedOut    bool          // a fetch since the last pause
 
 	unusableVersion    uint64    // the highest that could not be applied
 	unusableRetryAt    time.Time // when it and older ones may be fetched again
@@ -184,24 +186,37 @@
 }
 
 // makeRoom makes room for a fetch from another host: of the fetches that have had fetchTimeout it cancels the
-// one that has brought nothing for longest, or the slowest one if all have brought something within
-// fetchTimeout. It returns when the next fetch will have had that time, the zero time if one has.
+// one that has brought nothing for longest. If all have brought something within fetchTimeout, it cancels the slowest one but
+// the one with most bytes, and no other one for fetchTimeout: over slow links all would end for one another. It returns when
+// a fetch can be cancelled, the zero time if one has been.
 func (x *fetcher) makeRoom(now time.Time) (nextAt time.Time) {
-	var worst runningFetch
+	var due []runningFetch
 	for _, r := range x.running {
-		dueAt := r.progress.startedAt.Add(fetchTimeout)
-		switch {
-		case now.Before(dueAt):
-			if nextAt.IsZero() || dueAt.Before(nextAt) {
-				nextAt = dueAt
-			}
-		case worst.progress == nil || r.progress.isWorse(worst.progress, now):
-			worst = r
+		if dueAt := r.progress.startedAt.Add(fetchTimeout); !now.Before(dueAt) {
+			due = append(due, r)
+		} else if nextAt.IsZero() || dueAt.Before(nextAt) {
+			nextAt = dueAt
 		}
 	}
-	if worst.progress == nil {
+	if len(due) == 0 {
 		return nextAt
 	}
+	isWorse := func(a, b runningFetch) int {
+		return compareBool(b.progress.isWorse(a.progress, now), a.progress.isWorse(b.progress, now))
+	}
+	worst := slices.MinFunc(due, isWorse)
+	if worst.progress.isReceiving(now) {
+		if mayCancelAt := x.displacedAt.Add(fetchTimeout); now.Before(mayCancelAt) {
+			return mayCancelAt
+		}
+		if len(due) > 1 {
+			slices.SortFunc(due, func(a, b runningFetch) int {
+				return cmp.Compare(a.progress.bodyBytes.Load(), b.progress.bodyBytes.Load())
+			})
+			worst = slices.MinFunc(due[:len(due)-1], isWorse)
+		}
+		x.displacedAt = now
+	}
 	worst.cancel(errors.WithStack(&FetchDisplacedError{BodyBytes: worst.progress.bodyBytes.Load(), SilentTime: now.Sub(worst.progress.receivedAt())}))
 	return time.Time{}
 }
