--- a/internal/journal/create.go
+++ b/internal/journal/create.go
@@ -70,8 +70,8 @@
 	}
 	if exists {
 		err := syncFolder(parent)
-		if errors.Is(err, fs.ErrPermission) {
-			return nil // created by another user
+		if errors.Is(err, fs.ErrPermission) || errors.Is(err, syscall.EINVAL) {
+			return nil // created by another user, or in a file system that can't sync folders
 		}
 		return err
 	}
--- a/internal/journal/creation_test.go
+++ b/internal/journal/creation_test.go
@@ -81,3 +81,12 @@
 	_, _, err = reopen(dir)
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against a host that never opens its data folder because the file system of the parent can't sync folders.
+func TestFolderInAFileSystemThatCantSync(t *testing.T) {
+	g := NewWithT(t)
+	t.Chdir(t.TempDir())
+	j, _, err := Open("/proc/self/cwd", "c", 1) // a sync of /proc/self is refused
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(j.Close()).To(Succeed())
+}
