Leave a late verdict on an earlier copy out of the repairs of a restored one

A verdict on the copy of an earlier opening of the data folder, found in a request that outlives it, counted as a second one if the copy had been restored since: the next opening stayed out until its process ended. A verdict at or before the index of the restored state is of the copy before and changes nothing.

--- a/internal/replica/digests_test.go
+++ b/internal/replica/digests_test.go
@@ -721,3 +721,13 @@
 	g.Expect(r.copyOdd.Load().isFinal()).To(BeTrue())
 	g.Expect(open(31).CopyOdd()).To(HaveOccurred())
 }
+
+// Guards against a verdict on the copy of an earlier opening of the data folder that excludes the one restored since.
+var _ = It("leaves a restored copy in use after a late verdict on the one before", func() {
+	repairs := &Repairs{restored: 500, oddSnapshot: 400}
+	earlier := &Replica{options: Options{Repairs: repairs}.withDefaults(), stopped: make(chan struct{})}
+	close(earlier.stopped)
+	earlier.logger = earlier.options.Logger
+	earlier.giveUp(100)
+	Expect(repairs.beginOpening(600)).To(BeNil())
+})
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -115,6 +115,10 @@
 func (r *Replica) giveUp(index uint64) {
 	repairs := r.options.Repairs
 	repairs.mu.Lock()
+	if index <= repairs.restored { // found in a request that outlives an opening: it was of the copy before
+		repairs.mu.Unlock()
+		return
+	}
 	odd := &CopyOddError{Index: index, Restored: repairs.restored}
 	if odd.Restored > 0 {
 		repairs.excluded = odd
