--- a/internal/fleet/fetch_progress.go
+++ b/internal/fleet/fetch_progress.go
@@ -24,7 +24,9 @@
 }
 
 // isReceiving reports whether bytes of the body came within fetchTimeout.
-func (p *fetchProgress) isReceiving(now time.Time) bool { return now.Sub(p.receivedAt()) < fetchTimeout }
+func (p *fetchProgress) isReceiving(now time.Time) bool {
+	return now.Sub(p.receivedAt()) < fetchTimeout
+}
 
 // isWorse reports whether p has been silent for longer than other, or if neither has been for fetchTimeout,
 // whether it is slower.
