Test what the repeats of PutDocument hide

TestEveryChangeIsAnsweredWithinTheBound passes without failStranded, without the end of a forwarded proposal and without Refuse, since PutDocument proposes again. The new tests fail without each: the proposals wait 8 s, the bound of the call, and a closed folder's 503 counts as an unknown outcome.

--- a/internal/fleet/put_document_test.go
+++ b/internal/fleet/put_document_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	pb "github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1"
+	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/journal"
+	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 )
 
 // ackBound is the stated bound of the answer to a change of the configuration.
@@ -137,3 +142,41 @@
 		})
 	}
 }
+
+// Guards against proposals that wait to the end of their time for a leadership that is over, and against calls to a closed
+// data folder whose outcome counts as unknown. PutDocument hides either: it proposes again.
+func TestProposalsEndWithTheirLeadership(t *testing.T) {
+	for name, atLeader := range map[string]bool{"at the leader that is cut off": true, "at a follower of it": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			p := startPausableHosts(t, 3, 0)
+			p.hosts[0].propose(g, document.EncodeCommand(1, []byte("one")))
+			for _, h := range p.hosts {
+				g.Eventually(func() bool { return h.State().UpToDate && voterCount(h) == 3 }, reopenTimeout, "5ms").Should(BeTrue())
+			}
+			leader := p.leader()
+			g.Expect(leader).NotTo(Equal(-1))
+			at := leader
+			if !atLeader {
+				at = (leader + 1) % 3
+			}
+			p.paused[leader].Store(true)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*ackBound)
+			defer cancel()
+			began := time.Now()
+			_, err := p.hosts[at].Propose(ctx, document.EncodeCommand(2, []byte("two")))
+			g.Expect(time.Since(began)).To(BeNumerically("<", ackBound), "%v", err)
+		})
+	}
+}
+
+func TestAClosedDataFolderRefusesCallsOfHosts(t *testing.T) {
+	g := NewWithT(t)
+	s := NewReplicaSupervisor(replica.Options{ID: 1, Logger: discardLogger})
+	server := httptest.NewServer(s.Handler(""))
+	defer server.Close()
+	_, err := trefoilkeelv1connect.NewPeerServiceClient(server.Client(), server.URL).Propose(context.Background(), connect.NewRequest(&pb.ProposeRequest{}))
+	g.Expect(connect.IsWireError(err)).To(BeTrue())
+	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeFailedPrecondition), "had no effect")
+}
