End a wrong verdict that the log has no room for

With 256 active quarantines a verdict holds at the control host that made it, is never stored, and was kept although its endpoints go on: its requests were refused as long as the process ran. It is dropped, since no command for it is under way. TestVerdictThatIsNotStoredEndsIfItsEndpointsGoOn failed without the change.

--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -115,6 +115,8 @@
 			changes[key] = document.Release // the offences before this one stand
 		case state.Active:
 			k.unstored[key] = document.Exonerate
+		case !hasQuarantineRoom(stored):
+			delete(k.unstored, key) // no command is sent
 		}
 	}
 	k.updateSince(now, stored)
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -253,3 +253,27 @@
 	changes, _ := k.decide(after(4300), stored)
 	g.Expect(changes).To(Equal(map[uint64]document.QuarantineChange{request: document.Release}))
 }
+
+// Guards against a wrong verdict that stands as long as the process runs, because the log has no room for it.
+func TestVerdictThatIsNotStoredEndsIfItsEndpointsGoOn(t *testing.T) {
+	g := NewWithT(t)
+	start, request := time.Unix(1_800_000_000, 0), quarantine.RequestKey(7)
+	after := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	k := newQuarantineKeeper()
+	var full []document.QuarantinedPart
+	for i := range document.MaxQuarantinedParts {
+		full = append(full, document.QuarantinedPart{Part: uint64(1000 + i), Active: true, Offences: 1})
+	}
+	k.add(start, "e", AttemptOutcomes{ServedAttempts: map[string]int{"s": 200}})
+	for i := range 3 {
+		at := after(100 + 60*i)
+		k.add(at, "e", AttemptOutcomes{Broken: []quarantine.BrokenAttempt{{Endpoint: uint64(i), SentAt: at.Add(-time.Millisecond), BrokenAt: at, Request: request, Service: "s"}}})
+	}
+	_, added := k.decide(after(4000), full)
+	g.Expect(added).To(Equal([]uint64{request}))
+	for i := range 3 {
+		k.add(after(4200), "e", AttemptOutcomes{Responses: []Response{{Endpoint: uint64(i), SentAt: after(1500)}}})
+	}
+	k.decide(after(4300), full)
+	g.Expect(k.quarantined(full)).NotTo(ContainElement(request))
+}
