--- a/internal/fleet/put_document_test.go
+++ b/internal/fleet/put_document_test.go
@@ -184,6 +184,7 @@
 	}
 }
 
+// Guards against a closed data folder whose refusal counts as an unknown outcome.
 func TestAClosedDataFolderRefusesCallsOfHosts(t *testing.T) {
 	g := NewWithT(t)
 	s := NewReplicaSupervisor(replica.Options{ID: 1, Logger: discardLogger})
