Name what a response refutes, and reword comments on fetches

A function was named by a figure of speech, and three comments had to be read twice. No behaviour changes; the tests of quarantine, and of fetches in fleet, pass.

--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -36,7 +36,7 @@
 	// parallelFetchDelay is how long a fetch may go without the head of its response before the document is
 	// also fetched from another host, and maxParallelFetches limits the fetches that run at the same time.
 	// A response that has begun is given begunFetchDelay: further ones over the same link would slow it down.
-	// It is shorter than fetchTimeout, so that one fetch after the other that gets no further takes less than that.
+	// It is shorter than fetchTimeout, so that the next fetch starts before a stalled one reaches its limit.
 	// Once maxParallelFetches run, one that has had fetchTimeout ends if a host has not been asked yet.
 	parallelFetchDelay = 150 * time.Millisecond
 	begunFetchDelay    = 600 * time.Millisecond
@@ -97,7 +97,7 @@
 	failed     map[*host]fetchAnnouncement // since the last pause
 	searchedAt time.Time                   // when a newer document was first seen, zero if there is none
 	startedAt  time.Time                   // of the newest fetch that has not failed
-	// displacedAt is when a fetch that brought something was cancelled for another one.
+	// displacedAt is when a fetch that was receiving its response was cancelled for another one.
 	displacedAt time.Time
 	retryAt     time.Time // end of the pause, zero without one
 	retryDelay  time.Duration
@@ -186,9 +186,9 @@
 }
 
 // makeRoom makes room for a fetch from another host: of the fetches that have had fetchTimeout it cancels the
-// one that has brought nothing for longest. If all have brought something within fetchTimeout, it cancels the slowest one but
-// the one with most bytes, and no other one for fetchTimeout: over slow links all would end for one another. It returns when
-// a fetch can be cancelled, the zero time if one has been.
+// one that has received nothing for longest. If all have received something within fetchTimeout, it cancels the slowest
+// one, but never the one with most bytes, and no other one for fetchTimeout: over slow links all would end for one
+// another. It returns when a fetch can be cancelled, the zero time if one has been.
 func (x *fetcher) makeRoom(now time.Time) (nextAt time.Time) {
 	var due []runningFetch
 	for _, r := range x.running {
--- a/internal/quarantine/lift.go
+++ b/internal/quarantine/lift.go
@@ -24,14 +24,14 @@
 // clearVerdicts takes an endpoint that responded to an attempt sent at a time from the evidence of verdicts.
 func (t *Table) clearVerdicts(endpoint uint64, sentAt time.Time) {
 	for _, v := range t.verdicts {
-		if brokenAt, found := v.brokenAt[endpoint]; found && isSignOfLife(sentAt, brokenAt) {
+		if brokenAt, found := v.brokenAt[endpoint]; found && refutesCrash(sentAt, brokenAt) {
 			delete(v.brokenAt, endpoint)
 		}
 	}
 }
 
-// isSignOfLife reports whether a response to an attempt sent at a time shows that a break was no crash.
-func isSignOfLife(sentAt, brokenAt time.Time) bool {
+// refutesCrash reports whether a response to an attempt sent at a time shows that a break was no crash.
+func refutesCrash(sentAt, brokenAt time.Time) bool {
 	late := sentAt.Sub(brokenAt)
 	return late > respondedMargin && late <= respondedSpan
 }
