Tell the leader of an odd digest before the copy is restored

Operators would see a restored copy and no line on the other hosts that tells of the difference: where the leader's round brings the majority's digest before a host has answered, the host restored its copy and then answered with the restored state's digest.

A host waits now, 500 ms at most, until the leader has its digest, as an odd leader did for its round.

All specs of the package pass under the race detector.

--- a/internal/replica/digests.go
+++ b/internal/replica/digests.go
@@ -154,6 +154,13 @@
 	return true
 }
 
+// isAnswered reports whether the leader has the own digest that it asked for.
+func (d *digests) isAnswered() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.answered == d.asked
+}
+
 // forgetOwn removes the digests of the own state, which is replaced.
 func (d *digests) forgetOwn() {
 	d.mu.Lock()
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -21,7 +21,7 @@
 	repairInterval = 200 * time.Millisecond
 	repairTimeout  = 10 * time.Second // of one call to another host
 	repairAskDelay = time.Second      // until the next host is asked as well
-	// handOverTimeout limits how long an odd leader goes on to tell the others why it steps down.
+	// handOverTimeout limits how long an odd host waits until the others have its digest, before it steps down and is restored.
 	handOverTimeout = 500 * time.Millisecond
 )
 
@@ -177,14 +177,20 @@
 	}
 }
 
-// waitUntilTold waits until a leader has told the other hosts of the digests that it compared.
+// waitUntilTold waits until the other hosts have the digest that differs: a leader tells them in its round, another host
+// answers the leader. Once the copy is restored, its digest is that of the majority.
 func (r *Replica) waitUntilTold(ctx context.Context) {
 	deadline := r.now() + handOverTimeout
-	for nodeStatus := r.nodeStatus.Load(); nodeStatus.Role == consensus.Leader && r.now() < deadline; nodeStatus = r.nodeStatus.Load() {
-		if r.digests.isRoundTold(nodeStatus.Membership.Members, r.options.ID) || !r.waitFor(ctx, retryInterval) {
-			return
-		}
+	for !r.hasToldDigest() && r.now() < deadline && r.waitFor(ctx, retryInterval) {
+	}
+}
+
+// hasToldDigest reports whether the leader's newest round has the own digest.
+func (r *Replica) hasToldDigest() bool {
+	if nodeStatus := r.nodeStatus.Load(); nodeStatus.Role == consensus.Leader {
+		return r.digests.isRoundTold(nodeStatus.Membership.Members, r.options.ID)
 	}
+	return r.digests.isAnswered()
 }
 
 // waitFor waits and reports false if ctx ended first.
