Hold request heads back until they are whole and accounted for

Callers that sent heads over the limit, without end, or of legal size with very many short lines ended an entry by its memory: net/http parses each line as it arrives, into some 200 bytes a line whatever its length, and the entry let it read 128 KiB whatever the configuration allows.

A listener of its own (internal/inbound) now reads heads.

--- a/internal/entry/drain_listener.go
+++ b/internal/entry/drain_listener.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
+	"github.com/trefoilkeel/trefoilkeel/internal/inbound"
 )
 
 // HTTP/1.1 has no message that closes an idle connection: a caller that sends its next
@@ -79,8 +80,8 @@
 
 // connState tracks the phase of connections. It is the ConnState of an http.Server.
 func (d *drainListener) connState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
-	if !ok {
+	c := unwrapCaller(conn)
+	if c == nil {
 		return
 	}
 	switch state {
@@ -94,7 +95,16 @@
 // connContext gives handlers access to their connection. It is the ConnContext of an
 // http.Server.
 func connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, unwrapCaller(conn))
+}
+
+// unwrapCaller returns the caller's connection that conn is or wraps, nil if there is none.
+func unwrapCaller(conn net.Conn) *callerConn {
+	if limited, ok := conn.(*inbound.Conn); ok {
+		conn = limited.NetConn()
+	}
+	c, _ := conn.(*callerConn)
+	return c
 }
 
 type connKey struct{}
@@ -102,8 +112,8 @@
 // closeResponseSent reports whether a close response was sent on the connection of a
 // request. The caller then sent the request before it had the response to the last one.
 func closeResponseSent(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*callerConn)
-	if !ok {
+	c, _ := ctx.Value(connKey{}).(*callerConn)
+	if c == nil {
 		return false
 	}
 	c.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,10 @@
 	DecodeDocument func(content []byte) (*catalog.Document, error)
 	Logger         *slog.Logger
 	Metrics        *metrics.Registry // nil for one that is not published
+	// MaxConnections is the number of callers' connections at most, and HeadMemoryBytes the memory that the heads of their
+	// requests may take together. 0: the defaults.
+	MaxConnections  int
+	HeadMemoryBytes int64
 	// UsageWindow is the length of the windows in which requests that began to run are counted,
 	// and UsageRetention how long after its end a window is kept for the control hosts. 0: usage
 	// is not counted.
--- a/internal/entry/panics.go
+++ b/internal/entry/panics.go
@@ -49,8 +49,8 @@
 }
 
 func (e *Entry) setResetOnClose(r *http.Request, reset bool) {
-	c, ok := r.Context().Value(connKey{}).(*callerConn)
-	if !ok {
+	c, _ := r.Context().Value(connKey{}).(*callerConn)
+	if c == nil {
 		return // not served by ServeCallers
 	}
 	if err := c.setResetOnClose(reset); err != nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -9,6 +10,7 @@
 
 	"github.com/trefoilkeel/trefoilkeel/internal/catalog"
 	"github.com/trefoilkeel/trefoilkeel/internal/forward"
+	"github.com/trefoilkeel/trefoilkeel/internal/inbound"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/wait"
@@ -22,9 +24,13 @@
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
 	headerTimeoutSlack   = time.Second
-	// maxHeaderBytes is the most that any configuration may allow. A connection uses
-	// only as much memory as its header takes.
-	maxHeaderBytes = 128 << 10
+	// maxHeaderBytes is the most that any configuration may allow, and the limit where it sets none. requestLineSlack is
+	// added to the limit of the configuration, which may not count the request line.
+	maxHeaderBytes   = 128 << 10
+	requestLineSlack = 4 << 10
+	// defaultMaxConnections and defaultHeadMemoryBytes apply where the options set none.
+	defaultMaxConnections  = 10_000
+	defaultHeadMemoryBytes = 32 << 20
 	// noticePeriod is how long a stopping entry serves open connections with
 	// "Connection: close". It covers two checks of the load balancer a second apart, a
 	// second until callers follow, and the retransmission of a lost request.
@@ -46,12 +52,20 @@
 // before the process ends. The error is a *rpc.ServeError.
 func (e *Entry) ServeCallers(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration, logger *slog.Logger) error {
 	listener := newDrainListener(l, e.callerLimits, e.connectionEvents(logger))
+	limited := inbound.NewListener(listener, e.inboundOptions(logger))
 	requestCtx, cancelRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancelRequests(nil)
-	server := &http.Server{ConnState: listener.connState, ConnContext: connContext, BaseContext: func(net.Listener) context.Context { return requestCtx },
-		Handler:        e.withConnectionClose(e.withResetOnAbort(e.withPanicResponse(h))),
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return requestCtx },
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			limited.ConnState(conn, state)
+			listener.connState(conn, state)
+		},
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return connContext(limited.ConnContext(ctx, conn), conn)
+		},
+		Handler:        limited.Handler(e.withConnectionClose(e.withResetOnAbort(e.withPanicResponse(h)))),
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
-	return rpc.RunServer(ctx, server, listener, func() time.Duration {
+	return rpc.RunServer(ctx, server, limited, func() time.Duration {
 		began := time.Now()
 		deadline := began.Add(grace - min(stopMargin, grace/stopMarginDivisor))
 		e.Stop(deadline)
@@ -68,6 +82,25 @@
 	}, logger)
 }
 
+// inboundOptions returns the limits of callers' connections and request heads.
+func (e *Entry) inboundOptions(logger *slog.Logger) inbound.Options {
+	return inbound.Options{MaxConnections: cmp.Or(e.options.MaxConnections, defaultMaxConnections), MaxHeadBytes: e.maxHeadBytes,
+		Memory: inbound.NewHeadBudget(cmp.Or(e.options.HeadMemoryBytes, defaultHeadMemoryBytes)),
+		OnRefused: func(caller net.Addr, reason error) {
+			e.options.Metrics.AddToCounter(metrics.CallersRefused, 1)
+			logger.Info("caller's request refused", "caller", caller.String(), "reason", reason.Error())
+		}}
+}
+
+// maxHeadBytes returns the longest request head that the configuration in force allows.
+func (e *Entry) maxHeadBytes() int {
+	index := e.Index()
+	if index == nil || index.Document.Limits.MaxHeaderBytes <= 0 {
+		return maxHeaderBytes
+	}
+	return min(index.Document.Limits.MaxHeaderBytes+requestLineSlack, maxHeaderBytes)
+}
+
 // connectionEvents counts and logs how callers' connections end.
 func (e *Entry) connectionEvents(logger *slog.Logger) connectionEvents {
 	return connectionEvents{
