Close connections of silent callers while connections are scarce

Callers that only connected, or fell silent within a head or after a response, held all connections of an entry until the idle or header timeout, and again after it; ordinary callers waited in the kernel's queue. The entry closed no connection sooner for another one.

Once an eighth of the connections is free at most, each new one closes one whose caller has been silent for 250 ms or longer (a round trip and the retransmission of a lost request), with the close response that idle connections get anyway: 408, nothing ran. Callers that have sent no request go first, so that connections that ordinary callers keep are closed last. A caller that sends its request at once is never closed.

--- a/internal/entry/drain_listener.go
+++ b/internal/entry/drain_listener.go
@@ -225,17 +225,24 @@
 // sendCloseResponse sends the close response if the connection is idle. The server is
 // waiting for a request, so it reads until the caller closes or the linger time is over.
 func (c *callerConn) sendCloseResponse(linger time.Duration) {
-	if c.beginClose(linger) {
+	if c.beginClose(linger, phaseIdle) {
 		c.writeCloseResponse()
 	}
 }
 
-// beginClose ends the use of an idle connection: no request is read any more, and reads end after the
-// linger time. It reports whether the close response is to be written.
-func (c *callerConn) beginClose(linger time.Duration) bool {
+// CloseIdle sends the close response if no request has arrived whole. It implements inbound.IdleCloser.
+func (c *callerConn) CloseIdle(linger time.Duration) {
+	if c.beginClose(linger, phaseReadingHeader) {
+		c.writeCloseResponse()
+	}
+}
+
+// beginClose ends the use of a connection that is in the phase latest or an earlier one: no request is read any
+// more, and reads end after the linger time. It reports whether the close response is to be written.
+func (c *callerConn) beginClose(linger time.Duration, latest phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseIdle || c.closeResponseSent {
+	if c.phase > latest || c.closeResponseSent {
 		return false
 	}
 	c.closeResponseSent = true
@@ -274,7 +281,7 @@
 		switch {
 		case !closing && idle && n == 0 && errors.Is(err, os.ErrDeadlineExceeded):
 			c.listener.events.idleTimeout()
-			if c.beginClose(maxLingerTime) {
+			if c.beginClose(maxLingerTime, phaseIdle) {
 				go c.writeCloseResponse() // the caller's request may have to be read first
 			}
 		case !closing:
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -88,7 +88,7 @@
 		Memory: inbound.NewHeadBudget(cmp.Or(e.options.HeadMemoryBytes, defaultHeadMemoryBytes)),
 		OnRefused: func(caller net.Addr, reason error) {
 			e.options.Metrics.AddToCounter(metrics.CallersRefused, 1)
-			logger.Info("caller's request refused", "caller", caller.String(), "reason", reason.Error())
+			logger.Info("caller's connection refused", "caller", caller.String(), "reason", reason.Error())
 		}}
 }
 
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -35,7 +35,7 @@
 
 func (e *HeadBudgetError) Error() string { return "no memory is left for the head of the request" }
 
-// phase is what a client's connection is doing.
+// phase is what a client's connection is doing. The silent ones are in the order in which connections are evicted.
 type phase uint8
 
 const (
@@ -43,6 +43,7 @@
 	phaseIdle                  // the last request has its response; a part of the next head may have been read
 	phaseHeadRead              // the server gets a whole head
 	phaseServing
+	phaseEvicted
 )
 
 // isSilent reports whether the client is to send something.
@@ -62,8 +63,9 @@
 
 	mu          sync.Mutex
 	phase       phase
-	silentPhase phase // phaseNew until a request has been served, then phaseIdle
-	headDone    bool  // what is read next is of another head
+	since       time.Time // when the phase began
+	silentPhase phase     // phaseNew until a request has been served, then phaseIdle
+	headDone    bool      // what is read next is of another head
 	closed      bool
 	taken       int64 // from the budget, for the head of the request
 }
@@ -71,32 +73,44 @@
 // NetConn returns the connection that c wraps.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// beginHeadRead records that the server gets a whole head, or an error in its place.
-func (c *Conn) beginHeadRead() {
+// state returns the phase and when it began.
+func (c *Conn) state() (phase, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase, c.since
+}
+
+// beginHeadRead records that the server gets a whole head, or an error in its place. It reports false if the connection
+// is evicted.
+func (c *Conn) beginHeadRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase.isSilent() {
 		c.phase = phaseHeadRead
 	}
+	return c.phase != phaseEvicted
 }
 
 func (c *Conn) isSilent() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase.isSilent()
+	p, _ := c.state()
+	return p.isSilent()
 }
 
 // beginServing records that the server has read a whole head.
 func (c *Conn) beginServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseServing
+	if c.phase != phaseEvicted {
+		c.phase = phaseServing
+	}
 }
 
 // endServing records that the server has sent a response and waits for the next request.
 func (c *Conn) endServing() {
 	c.mu.Lock()
-	c.phase = phaseIdle
+	if c.phase != phaseEvicted {
+		c.phase, c.since = phaseIdle, time.Now()
+	}
 	c.silentPhase, c.headDone = phaseIdle, true
 	c.mu.Unlock()
 	c.takeMemory(0)
@@ -137,7 +151,7 @@
 	if c.phase == phaseHeadRead {
 		c.phase = c.silentPhase // the server needs more, as after empty lines before a request
 	}
-	return c.phase.isSilent()
+	return c.phase == phaseNew || c.phase == phaseIdle || c.phase == phaseEvicted
 }
 
 // Read passes whole heads, and what follows them, to the server.
@@ -159,11 +173,17 @@
 	return c.Conn.Read(p)
 }
 
-// readHead reads until a head is whole or the connection fails, and returns its beginning. A head that is refused
-// doesn't reach the server: it gets io.EOF.
+// readHead reads until a head is whole or the connection fails, and returns its beginning. A head that is refused, and
+// what arrives after the eviction, doesn't reach the server: it gets io.EOF.
 func (c *Conn) readHead(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if c.isEvicted() {
+			if c.partial = nil; err != nil {
+				return 0, io.EOF
+			}
+			continue
+		}
 		began := c.head.bytes == 0
 		whole := c.head.add(p[:n])
 		if refusal := c.checkHead(whole || err != nil); refusal != nil {
@@ -174,13 +194,15 @@
 		case err != nil && !c.isSilent():
 			c.partial = append(c.partial, p[:n]...)
 			return 0, err // the server reads on after the response that it is about to send
-		case err != nil:
-			c.beginHeadRead()
+		case err != nil && c.beginHeadRead():
 			c.readErr = err
 			return c.deliver(p, n)
-		case whole:
-			c.beginHeadRead()
+		case err != nil:
+			return 0, io.EOF
+		case whole && c.beginHeadRead():
 			return c.deliver(p, n)
+		case whole:
+			continue // evicted
 		}
 		if began && c.listener.options.HeadTimeout > 0 {
 			_ = c.SetReadDeadline(time.Now().Add(c.listener.options.HeadTimeout)) // fails only on a closed connection
@@ -224,7 +246,9 @@
 // refuse answers a request whose head is not read on. It did not run.
 func (c *Conn) refuse(buffer []byte, reason error) {
 	c.partial = nil
-	c.beginHeadRead()
+	if !c.beginHeadRead() {
+		return
+	}
 	c.takeMemory(0)
 	c.listener.options.OnRefused(c.RemoteAddr(), reason)
 	status, retryAfter := http.StatusRequestHeaderFieldsTooLarge, ""
@@ -254,7 +278,7 @@
 		c.mu.Lock()
 		c.closed = true
 		c.mu.Unlock()
-		<-c.listener.slots
+		c.listener.remove(c)
 	})
 	return c.Conn.Close()
 }
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -147,3 +148,41 @@
 	_ = held.Close()
 	g.Eventually(func() int { code, _ := status(longHead); return code }).Should(Equal(http.StatusOK))
 }
+
+// Guards against the eviction of a client that is not silent, or that has been so for a moment, and against an order in
+// which clients that have been served go before those that have sent nothing.
+func TestSilentClientsAreEvictedInOrder(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	l := NewListener(nil, Options{MaxConnections: 16, Memory: NewHeadBudget(1 << 20)})
+	add := func(p phase, silentFor time.Duration) *Conn {
+		c := &Conn{listener: l, phase: p, since: now.Add(-silentFor)}
+		l.conns[c] = true
+		return c
+	}
+	expectEvicted := func(want ...*Conn) {
+		t.Helper()
+		evicted := l.beginEvictions(now.Add(-time.Second))
+		g.Expect(slices.Equal(evicted, want)).To(BeTrue(), "%d evicted", len(evicted))
+	}
+	idle, idleNewer := add(phaseIdle, time.Hour), add(phaseIdle, time.Minute)
+	newer, oldest := add(phaseNew, 2*time.Second), add(phaseNew, 3*time.Second)
+	for range 9 {
+		add(phaseServing, time.Hour)
+	}
+	expectEvicted() // there is room
+	add(phaseNew, 0)
+	add(phaseNew, 0)
+	expectEvicted(oldest)
+	add(phaseHeadRead, time.Hour)
+	expectEvicted(newer)
+	add(phaseServing, time.Hour)
+	expectEvicted() // as many as may be closing at a time
+	l.slots <- struct{}{}
+	l.remove(oldest)
+	l.slots <- struct{}{}
+	l.remove(newer)
+	expectEvicted(idle)
+	add(phaseServing, time.Hour)
+	expectEvicted(idleNewer)
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -1,6 +1,6 @@
 // Package inbound limits what the clients of an HTTP/1.1 server can hold: connections, and the memory of request
 // heads. A head reaches the parser of net/http, where it takes many times its length, only once it is whole,
-// within the limits and accounted for.
+// within the limits and accounted for. While connections are scarce, those whose clients are silent are closed.
 package inbound
 
 import (
@@ -22,7 +22,7 @@
 	Memory *HeadBudget
 	// HeadTimeout is how long a head may take from its first byte, 0 if the connections have a timeout of their own.
 	HeadTimeout time.Duration
-	// OnRefused is called with a refusal of a head; nil for none.
+	// OnRefused is called with a refusal of a head or connection; nil for none.
 	OnRefused func(client net.Addr, reason error)
 }
 
@@ -33,6 +33,10 @@
 	slots     chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+
+	mu       sync.Mutex
+	conns    map[*Conn]bool
+	evicting int
 }
 
 // NewListener returns a listener that limits the connections of another one.
@@ -40,10 +44,10 @@
 	if o.OnRefused == nil {
 		o.OnRefused = func(net.Addr, error) {}
 	}
-	return &Listener{Listener: l, options: o, slots: make(chan struct{}, o.MaxConnections), closed: make(chan struct{})}
+	return &Listener{Listener: l, options: o, slots: make(chan struct{}, o.MaxConnections), closed: make(chan struct{}), conns: map[*Conn]bool{}}
 }
 
-// Accept waits for room and then for a connection.
+// Accept waits for room and then for a connection. If there is little room, it closes connections of silent clients.
 func (l *Listener) Accept() (net.Conn, error) {
 	if err := l.awaitSlot(); err != nil {
 		return nil, err
@@ -53,7 +57,12 @@
 		<-l.slots
 		return nil, err
 	}
-	return &Conn{Conn: accepted, listener: l}, nil
+	c := &Conn{Conn: accepted, listener: l, since: time.Now()}
+	l.mu.Lock()
+	l.conns[c] = true
+	l.mu.Unlock()
+	l.makeRoom()
+	return c, nil
 }
 
 // awaitSlot waits for room for a connection. The error is net.ErrClosed.
@@ -61,9 +70,31 @@
 	select {
 	case l.slots <- struct{}{}:
 		return nil
-	case <-l.closed:
-		return net.ErrClosed
+	default:
+	}
+	ticker := time.NewTicker(evictionInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return nil
+		case <-l.closed:
+			return net.ErrClosed
+		case <-ticker.C:
+			l.makeRoom()
+		}
+	}
+}
+
+// remove forgets a closed connection.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	if c.isEvicted() {
+		l.evicting--
 	}
+	l.mu.Unlock()
+	<-l.slots
 }
 
 // Close closes the listener, but not its connections.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,7 +58,7 @@
 	LedgerBytes       = "ledger.bytes"       // gauge, size of the ledger in bytes
 
 	CallersIdleClosed = "callers.idle_closed" // counter, callers' connections closed at the idle timeout
-	CallersRefused    = "callers.refused"     // counter, callers' connections closed for the head of a request
+	CallersRefused    = "callers.refused"     // counter, callers' connections closed for their silence while connections were scarce, or for the head of a request
 	CallersCrossed    = "callers.crossed"     // counter, callers' requests that arrived after the close response of their connection
 	CallersPanics     = "callers.panics"      // counter, callers' requests whose handler panicked
 )
