Don't wait for request bodies that don't come

Callers that sent whole heads and no bodies held their connections for good, and an ordinary caller found none. After a handler gave up, net/http read the rest of the body before it wrote the response and once more after it, without a timeout: the refusal didn't leave, and the connection stayed even if the caller was to be refused at once.

While connections are scarce, those whose body is awaited are closed too, after those of callers that have sent nothing; their callers are told 503, as nothing ran.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -39,15 +39,16 @@
 type phase uint8
 
 const (
-	phaseNew      phase = iota // no request has been read, or only a part of its head
-	phaseIdle                  // the last request has its response; a part of the next head may have been read
-	phaseHeadRead              // the server gets a whole head
+	phaseNew         phase = iota // no request has been read, or only a part of its head
+	phaseIdle                     // the last request has its response; a part of the next head may have been read
+	phaseReadingBody              // a handler waits for the body of a request
+	phaseHeadRead                 // the server gets a whole head
 	phaseServing
 	phaseEvicted
 )
 
 // isSilent reports whether the client is to send something.
-func (p phase) isSilent() bool { return p <= phaseIdle }
+func (p phase) isSilent() bool { return p <= phaseReadingBody }
 
 // Conn is a client's connection. The server reads it from one goroutine at a time.
 type Conn struct {
@@ -66,6 +67,8 @@
 	since       time.Time // when the phase began
 	silentPhase phase     // phaseNew until a request has been served, then phaseIdle
 	headDone    bool      // what is read next is of another head
+	awaitsBody  bool      // a handler waited for the body when the connection was evicted
+	body        bodyState // of the request that is served
 	closed      bool
 	taken       int64 // from the budget, for the head of the request
 }
@@ -80,6 +83,17 @@
 	return c.phase, c.since
 }
 
+// setPhase changes the phase from one to another, and reports whether it was the former.
+func (c *Conn) setPhase(from, to phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != from {
+		return false
+	}
+	c.phase = to
+	return true
+}
+
 // beginHeadRead records that the server gets a whole head, or an error in its place. It reports false if the connection
 // is evicted.
 func (c *Conn) beginHeadRead() bool {
@@ -111,7 +125,7 @@
 	if c.phase != phaseEvicted {
 		c.phase, c.since = phaseIdle, time.Now()
 	}
-	c.silentPhase, c.headDone = phaseIdle, true
+	c.silentPhase, c.headDone, c.body = phaseIdle, true, bodyNone
 	c.mu.Unlock()
 	c.takeMemory(0)
 }
@@ -141,17 +155,20 @@
 	return c.taken
 }
 
-// beginRead returns whether a head is to be read.
-func (c *Conn) beginRead() (readsHead bool) {
+// beginRead returns whether a head is to be read. The error is io.ErrUnexpectedEOF if nothing is read any more.
+func (c *Conn) beginRead() (readsHead bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err := c.limitDiscard(); err != nil {
+		return false, err
+	}
 	if c.headDone {
 		c.head, c.headDone = requestHead{}, false
 	}
 	if c.phase == phaseHeadRead {
 		c.phase = c.silentPhase // the server needs more, as after empty lines before a request
 	}
-	return c.phase == phaseNew || c.phase == phaseIdle || c.phase == phaseEvicted
+	return c.phase == phaseNew || c.phase == phaseIdle || c.phase == phaseEvicted, nil
 }
 
 // Read passes whole heads, and what follows them, to the server.
@@ -167,7 +184,11 @@
 		c.readErr = nil
 		return 0, err
 	}
-	if c.listener.options.MaxHeadBytes != nil && c.beginRead() {
+	readsHead, err := c.beginRead()
+	switch {
+	case err != nil:
+		return 0, err
+	case readsHead && c.listener.options.MaxHeadBytes != nil:
 		return c.readHead(p)
 	}
 	return c.Conn.Read(p)
--- a/internal/inbound/eviction.go
+++ b/internal/inbound/eviction.go
@@ -39,8 +39,8 @@
 }
 
 // beginEvictions marks connections as evicted whose clients have been silent since a time or before it, if few more fit,
-// and returns them. Clients that have never sent a request come first, those that have had their response next;
-// among them those that have been silent for longest.
+// and returns them. Clients that have never sent a request come first, those that have had their response next, and
+// those whose request body is awaited last; among them those that have been silent for longest.
 func (l *Listener) beginEvictions(since time.Time) (evicted []*Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -78,6 +78,7 @@
 	if c.phase != p || c.since != since {
 		return false
 	}
+	c.awaitsBody = p == phaseReadingBody
 	c.phase = phaseEvicted
 	return true
 }
@@ -93,11 +94,19 @@
 	CloseIdle(linger time.Duration)
 }
 
-// closeEvicted closes an evicted connection.
+// closeEvicted closes an evicted connection. A handler that waits for the body of a request gets an *EvictedError, and
+// its response ends the connection.
 func (c *Conn) closeEvicted() {
-	if closer, ok := c.Conn.(IdleCloser); ok {
+	c.mu.Lock()
+	awaitsBody := c.awaitsBody
+	c.mu.Unlock()
+	closer, ok := c.Conn.(IdleCloser)
+	switch {
+	case awaitsBody:
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	case ok:
 		closer.CloseIdle(evictionLinger)
-	} else {
+	default:
 		_ = c.Close()
 	}
 }
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -6,7 +6,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Handler returns a handler for the http.Server that serves the listener. It refuses a request whose head was read before it could be accounted for, as one that was sent before the
+// Handler returns a handler for the http.Server that serves the listener. It follows the reading of request bodies,
+// and refuses a request whose head was read before it could be accounted for, as one that was sent before the
 // response to the last one, if the budget has no room for it.
 func (l *Listener) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -23,6 +24,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if r.Body != nil && r.Body != http.NoBody {
+			c.setBody(bodyUnread)
+			r.Body = &body{ReadCloser: r.Body, conn: c, writer: w}
+		}
 		h.ServeHTTP(w, r)
 	})
 }
