Limit what clients hold at the other listeners of the platform's face

Crowds at the readiness, metrics, operators' and hosts' listeners took more memory and descriptors than the settings allow: these listeners had no limit on connections, parsed heads of 32 KiB of short lines as they arrived, and waited for bodies without a timeout. What one of them holds, the rest of the process lacks.

They are served with the limits of internal/inbound, with shares of the descriptors and the memory for each. They speak HTTP/1.1 only, as all of their clients do: heads in HTTP/2 frames can't be read on the connection.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/inbound"
 )
 
 // Limits of connections and messages.
@@ -84,6 +86,26 @@
 	return RunServer(ctx, newServer(h, tlsConfig, logger), l, func() time.Duration { return shutdownTimeout }, logger)
 }
 
+// ServerLimits limits what the clients of a server can hold.
+type ServerLimits struct {
+	MaxConnections  int
+	HeadMemoryBytes int64 // of the heads of open requests together
+}
+
+// ServeLimited serves HTTP/1.1 on the listener, which clients may reach that are not part of the system, until ctx
+// ends. It then gives open requests up to shutdownTimeout to finish. An error is a *ServeError.
+func ServeLimited(ctx context.Context, l net.Listener, h http.Handler, limits ServerLimits, logger *slog.Logger) error {
+	limited := inbound.NewListener(l, inbound.Options{MaxConnections: limits.MaxConnections, MaxHeadBytes: func() int { return maxHeaderBytes },
+		Memory: inbound.NewHeadBudget(limits.HeadMemoryBytes), HeadTimeout: readHeaderTimeout,
+		OnRefused: func(client net.Addr, reason error) {
+			logger.Info("client's connection refused", "address", l.Addr().String(), "client", client.String(), "reason", reason.Error())
+		}})
+	server := newServer(limited.Handler(h), nil, logger)
+	server.Protocols.SetUnencryptedHTTP2(false) // the limits need heads that can be read on the connection
+	server.ConnState, server.ConnContext = limited.ConnState, limited.ConnContext
+	return RunServer(ctx, server, limited, func() time.Duration { return shutdownTimeout }, logger)
+}
+
 // RunServer runs the server on the listener until ctx ends, over TLS if the server
 // has a TLS configuration. It then calls beginShutdown, which returns how long open
 // requests may take to finish, and closes the connections of those that take longer.
