Limit what callers hold at the product's own router

Callers of the router could make a process exceed its memory with heads within its 32 KiB, made of short lines: 200 of them, of the 10,000 connections that it takes by default, took over 128 MiB. Silent ones kept all others out for up to two minutes.

The router's listener has the limits of internal/inbound too. A new setting, router.max_head_memory_bytes (64 MiB by default), bounds the memory of heads; connections are bounded by router.max_connections as before, and silent callers yield them. Under TLS the heads can't be read on the connection: there only the connections are limited. rpc.LimitListener has no use left.

--- a/internal/daemon/embedded.go
+++ b/internal/daemon/embedded.go
@@ -93,7 +93,7 @@
 			listen = o.RouterListen
 		}
 		s := e.commonSettings("router-"+strconv.Itoa(i+1), domains[i%len(domains)])
-		s.Router = &settings.Router{Listen: listen, MaxBodyBytes: embeddedMaxBodyBytes, MaxConnections: embeddedMaxConnections}
+		s.Router = &settings.Router{Listen: listen, MaxBodyBytes: embeddedMaxBodyBytes, MaxConnections: embeddedMaxConnections, MaxHeadMemoryBytes: embeddedMaxHeadMemory}
 		d, err := e.startDaemon(o, s)
 		if err != nil {
 			return err
@@ -112,6 +112,7 @@
 const (
 	embeddedMaxBodyBytes   = 4 << 20
 	embeddedMaxConnections = 10_000
+	embeddedMaxHeadMemory  = 64 << 20
 	embeddedInitialSlots   = 8
 	embeddedMaxSlots       = 256
 	embeddedStopTimeout    = 30 * time.Second
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/inbound"
 	"github.com/trefoilkeel/trefoilkeel/internal/router"
 	"github.com/trefoilkeel/trefoilkeel/internal/routing"
-	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
 )
 
@@ -83,9 +83,12 @@
 // run serves callers until ctx ends, then accepts no new requests and returns
 // once every response in flight is complete or the stop timeout expires.
 func (r *routerRole) run(ctx context.Context) error {
+	limited := inbound.NewListener(r.listener, r.inboundOptions())
 	server := &http.Server{
-		Handler:           r.router.Handler(),
+		Handler:           limited.Handler(r.router.Handler()),
 		BaseContext:       r.router.RequestContext,
+		ConnContext:       limited.ConnContext,
+		ConnState:         limited.ConnState,
 		TLSConfig:         callerTLS(r.daemon.options.TLS),
 		ReadHeaderTimeout: callerHeaderTimeout,
 		ReadTimeout:       callerReadTimeout,
@@ -94,7 +97,7 @@
 		ErrorLog:          r.daemon.serverErrorLog(),
 	}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- serve(server, rpc.LimitListener(r.listener, r.settings.MaxConnections)) }()
+	go func() { serveErr <- serve(server, limited) }()
 	select {
 	case err := <-serveErr:
 		return err
@@ -113,6 +116,19 @@
 	return nil
 }
 
+// inboundOptions returns the limits of callers' connections. Under TLS the heads of requests can't be read on the
+// connection; callerMaxHeaderBytes alone limits them there.
+func (r *routerRole) inboundOptions() inbound.Options {
+	o := inbound.Options{MaxConnections: r.settings.MaxConnections, HeadTimeout: callerHeaderTimeout,
+		OnRefused: func(caller net.Addr, reason error) {
+			r.daemon.logger.Info("caller's connection refused", "caller", caller.String(), "reason", reason.Error())
+		}}
+	if r.daemon.options.TLS == nil {
+		o.MaxHeadBytes, o.Memory = func() int { return callerMaxHeaderBytes }, inbound.NewHeadBudget(r.settings.MaxHeadMemoryBytes)
+	}
+	return o
+}
+
 // finalResponseTime is how long before the end of the stop timeout running requests are cancelled, so that
 // they are answered before their connections are closed. It is limited to the timeout divided by
 // finalResponseDivisor.
--- a/internal/entry/abort_test.go
+++ b/internal/entry/abort_test.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
-	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
 
 // Guards against: a response that is broken off looks complete to a caller whose responses end with their
@@ -31,11 +30,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	listener := rpc.LimitListener(l, 100) // as in a deployment
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = e.ServeCallers(ctx, listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = e.ServeCallers(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			w.Header().Set("Content-Type", "text/event-stream")
 			_, _ = io.WriteString(w, event)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -16,6 +16,8 @@
 	maxBodyBytesLimit = 64 << 20
 	maxSlotsLimit     = 4096
 	maxNameBytes      = 64
+	// minHeadMemoryBytes lets the longest head that a router accepts, made of the shortest lines, be served.
+	minHeadMemoryBytes = 8 << 20
 )
 
 // tokenRoles are the roles that an operator's token may have.
@@ -126,6 +128,7 @@
 	c.checkListenAddress("router.listen", s.Router.Listen)
 	c.checkMaxBodyBytes("router.max_body_bytes", s.Router.MaxBodyBytes)
 	c.require(s.Router.MaxConnections > 0, "router.max_connections", "must be 1 or more")
+	c.require(s.Router.MaxHeadMemoryBytes >= minHeadMemoryBytes, "router.max_head_memory_bytes", "must be 8388608 or more")
 }
 
 // checkMaxBodyBytes checks a limit on the size of request bodies.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,8 @@
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
 	// MaxConnections bounds the number of callers' connections.
 	MaxConnections int `toml:"max_connections"`
+	// MaxHeadMemoryBytes bounds the memory that the heads of callers' open requests take together, in bytes.
+	MaxHeadMemoryBytes int64 `toml:"max_head_memory_bytes"`
 }
 
 // Agent configures the agent of one endpoint.
@@ -107,6 +109,7 @@
 	defaultStopTimeout    = Duration(2 * time.Minute)
 	defaultMaxBodyBytes   = 4 << 20
 	defaultMaxConnections = 10_000
+	defaultMaxHeadMemory  = 64 << 20
 	defaultSlots          = 8
 	defaultMaxSlots       = 256
 	defaultClusterID      = "trefoilkeel"
@@ -122,6 +125,7 @@
 	if s.Router != nil {
 		setDefault(&s.Router.MaxBodyBytes, defaultMaxBodyBytes)
 		setDefault(&s.Router.MaxConnections, defaultMaxConnections)
+		setDefault(&s.Router.MaxHeadMemoryBytes, defaultMaxHeadMemory)
 	}
 	for i := range s.Agents {
 		setDefault(&s.Agents[i].InitialSlots, defaultSlots)
