Refuse answers of endpoints whose head is malformed

Callers of an entry got answers of workers in trouble that are none: with a blank in or after the name of a field ("Content-Length : 3", by which the body was another one), with a folded line that hid a field, with status 600 or 999. A status of 000 or 099 read as interim, so that another answer that followed was taken for the answer. net/http checks neither names nor statuses of what it parses, and joins lines that begin with a blank.

The entry's client checks the bytes of heads as they arrive (internal/answer): a status from 100 to 599 in three digits, names that are tokens, no folded lines, no control bytes. Trailers are checked once they are parsed. Such an answer ends the attempt like a lost one, and its connection; the request may have run.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 )
 
 // Limits of a connection.
@@ -104,6 +106,7 @@
 	conn       *conn
 	stopWatch  func() bool // stops watching the context
 	sendResult chan error  // receives the result of a concurrent send, nil if the send is not concurrent
+	endErr     error       // why the end of the response is not believed
 	released   bool        // the connection has been pooled or closed
 }
 
@@ -194,15 +197,31 @@
 func (e *ProtocolError) Error() string { return e.Reason }
 
 // Read reads the body of the response. At its end the connection is returned to the
-// pool if it can be reused.
+// pool if it can be reused. The error is a *ProtocolError if the end is not believed.
 func (x *Exchange) Read(p []byte) (int, error) {
+	if x.endErr != nil {
+		return 0, x.endErr
+	}
 	n, err := x.Response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		x.finish()
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if x.endErr = x.checkEnd(); x.endErr != nil {
+		x.abort()
+		return n, x.endErr
+	}
+	x.finish()
 	return n, err
 }
 
+// checkEnd checks the end of a response.
+func (x *Exchange) checkEnd() error {
+	if err := answer.CheckFields(x.Response.Trailer); err != nil {
+		return errors.WithStack(&ProtocolError{Reason: err.Error()})
+	}
+	return nil
+}
+
 // finish returns the connection to the pool after a complete response. It closes the
 // connection instead if the request was not completely sent, if the end of the
 // response is not certain, or if unexpected bytes follow it.
@@ -291,7 +310,7 @@
 	return &conn{Conn: dialed, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address}, nil
 }
 
-// headLimiter limits the bytes and lines that are read between begin and end. The parser of
+// headLimiter limits the bytes and lines that are read between begin and end, and checks them. The parser of
 // net/http has no limit of its own for the head of a response, and short lines take many times their
 // length once they are parsed.
 type headLimiter struct {
@@ -299,15 +318,16 @@
 	active         bool
 	remaining      int // bytes
 	remainingLines int
+	scanner        answer.HeadScanner
 }
 
 func (l *headLimiter) begin() {
-	l.active, l.remaining, l.remainingLines = true, maxHeadBytes, maxHeadLines
+	l.active, l.remaining, l.remainingLines, l.scanner = true, maxHeadBytes, maxHeadLines, answer.HeadScanner{}
 }
 
 func (l *headLimiter) end() { l.active = false }
 
-// Read fails with a *ProtocolError once the head is longer than maxHeadBytes or maxHeadLines.
+// Read fails with a *ProtocolError if the head is malformed, or once it is longer than maxHeadBytes or maxHeadLines.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.active {
 		return l.Reader.Read(p)
@@ -321,6 +341,9 @@
 	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
 	l.remainingLines -= bytes.Count(p[:n], []byte("\n")) // of the body too, in the last read
+	if malformed := l.scanner.Scan(p[:n]); malformed != nil {
+		return 0, errors.WithStack(&ProtocolError{Reason: malformed.Error()})
+	}
 	return n, err
 }
 
