Don't take a part of an answer for all of it while the request is being sent

A worker answered a long upload at once, without a length, sent a part of its answer and reset the connection. The kernel reports a reset once: if the write of the upload, which runs beside the reading, meets it, the read sees a plain end, and an answer without a length ends with its connection. Only the pool of connections took notice of the write.

The end of such an answer is now believed only if the request was sent without an error. If the send is still running at the end, it has 200 ms to finish: the last bytes may have been taken just before. Otherwise the read of the answer fails, and the request counts as one whose answer was lost.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -40,6 +40,8 @@
 	concurrentSendBytes = 4 << 10
 	readBufferBytes     = 4 << 10
 	maxInterimResponses = 5
+	// maxSendEndDelay is how long the end of a concurrent send may take to be known after the response has ended.
+	maxSendEndDelay = 200 * time.Millisecond
 	// maxHeadBytes limits the status line and headers of a response, together with those
 	// of the interim responses before it.
 	maxHeadBytes    = 32 << 10
@@ -105,7 +107,8 @@
 	client     *Client
 	conn       *conn
 	stopWatch  func() bool // stops watching the context
-	sendResult chan error  // receives the result of a concurrent send, nil if the send is not concurrent
+	sendResult chan error  // receives the result of a concurrent send, nil if the send is not concurrent or its result is known
+	sendErr    error       // the result, once it is known
 	endErr     error       // why the end of the response is not believed
 	released   bool        // the connection has been pooled or closed
 }
@@ -214,11 +217,22 @@
 	return n, err
 }
 
-// checkEnd checks the end of a response.
+// checkEnd checks the end of a response. One that ends with its connection is complete only if the endpoint has
+// read the request: a reset is reported once, and if the write of the request meets it, the read sees a plain end.
 func (x *Exchange) checkEnd() error {
 	if err := answer.CheckFields(x.Response.Trailer); err != nil {
 		return errors.WithStack(&ProtocolError{Reason: err.Error()})
 	}
+	if x.Delimited() {
+		return nil
+	}
+	if x.sendResult != nil {
+		_ = x.conn.SetWriteDeadline(time.Now().Add(maxSendEndDelay)) // fails only on a closed connection
+		x.sendErr, x.sendResult = <-x.sendResult, nil
+	}
+	if x.sendErr != nil {
+		return errors.WithStack(&ProtocolError{Reason: "the answer ended before the request was sent: " + x.sendErr.Error()})
+	}
 	return nil
 }
 
@@ -229,7 +243,7 @@
 	if x.released {
 		return
 	}
-	sentCompletely := true
+	sentCompletely := x.sendErr == nil
 	if x.sendResult != nil {
 		select {
 		case err := <-x.sendResult:
