Check the answers that agents, routers, hosts and operators read

The same answers that are none passed where http.Transport reads them: an agent took status 000 or 999, and names with blanks, for answers of its engine, and so did a router of an agent, and hosts of each other. Calls between processes also believed an answer without a length or chunks, of which a part can't be told from all of it.

All of these clients read through answer.Transport now, which checks statuses and names of final and interim heads and of trailers, and closes idle connections after a refusal: the sound answer may follow. Clients of the system's own processes accept no answer that ends with its connection; agents refused those of engines already. A folded line is seen only in the bytes of a head, which http.Transport doesn't show.

--- a/cmd/trefoilkeel/client.go
+++ b/cmd/trefoilkeel/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 )
 
 // Limits of one command.
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}
+	transport := &answer.Transport{RequiresEnd: true, Next: &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}}
 	return &http.Client{Transport: &tokenTransport{token: token, next: transport}}, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 	"github.com/trefoilkeel/trefoilkeel/internal/flow"
 	"github.com/trefoilkeel/trefoilkeel/internal/follow"
 	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
@@ -176,13 +177,13 @@
 	return strings.TrimSuffix(url, "0") + port
 }
 
-// agentHTTPClient returns the HTTP/1.1 client for calls to agents.
+// agentHTTPClient returns the HTTP/1.1 client for calls to agents. No agent ends an answer by its connection.
 func (d *Daemon) agentHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &answer.Transport{RequiresEnd: true, Next: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: agentDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerAgent,
 		IdleConnTimeout:     agentIdleTimeout,
 		TLSClientConfig:     d.options.TLS.Clone(),
 		DisableCompression:  true,
-	}}
+	}}}
 }
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net/http"
 	"time"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/settings"
@@ -19,3 +20,6 @@
 func SetStopTimeout(d *Daemon, timeout time.Duration) {
 	d.settings.Process.StopTimeout = settings.Duration(timeout)
 }
+
+// AgentHTTPClient returns the client with which a router calls agents.
+func AgentHTTPClient() *http.Client { return (&Daemon{}).agentHTTPClient() }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
 )
 
@@ -81,7 +82,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 	}
-	return &Client{baseURL: base, httpClient: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &Client{baseURL: base, httpClient: &http.Client{Transport: &answer.Transport{Next: transport}, CheckRedirect: noRedirect}}
 }
 
 // noRedirect makes the HTTP client return a redirect as the response.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 	"github.com/trefoilkeel/trefoilkeel/internal/inbound"
 )
 
@@ -53,7 +54,7 @@
 		protocols.SetHTTP2(true)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return checkedClient(&http.Transport{
 		DialContext:            dialer.DialContext,
 		TLSClientConfig:        tlsConfig.Clone(),
 		TLSHandshakeTimeout:    dialTimeout,
@@ -62,7 +63,13 @@
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
-	}}
+	})
+}
+
+// checkedClient returns a client that accepts no answer that ends with its connection: no process of the system
+// sends one.
+func checkedClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: &answer.Transport{Next: transport, RequiresEnd: true}}
 }
 
 // HTTP1Client returns an unencrypted HTTP/1.1 client for calls between hosts of
@@ -70,13 +77,13 @@
 // closed. HTTP/1.1 does not reuse a connection after a call on it timed out.
 func HTTP1Client(connectTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &http.Client{Transport: &http.Transport{
+	return checkedClient(&http.Transport{
 		DialContext:            dialer.DialContext,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}}
+	})
 }
 
 // Serve serves HTTP/1.1 and HTTP/2 on the listener until ctx ends, over TLS if
