Check the bytes of heads where http.Transport reads answers

A line of a head that begins with a blank, which is a name with a blank before it, was joined to the line before and passed on by agents, and believed between hosts and by a router of its agents: http.Transport shows the parsed head only. "X-Odd: v", " Content-Length: 3" read as one field, with another body.

The connections of these clients check the bytes of each head as the entry's client does; the round tripper tells them where an answer is to begin. Under TLS only the parsed head is checked.

--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -26,6 +26,11 @@
 // request was sent with the latter two. Reading the body fails with a *HeadError if its trailer is none.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	traced := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*scannedConn); ok {
+				c.expectHead()
+			}
+		},
 		Got1xxResponse: func(status int, fields textproto.MIMEHeader) error { return CheckHead(status, http.Header(fields)) },
 	})
 	response, err := t.Next.RoundTrip(r.WithContext(traced))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -180,7 +180,7 @@
 // agentHTTPClient returns the HTTP/1.1 client for calls to agents. No agent ends an answer by its connection.
 func (d *Daemon) agentHTTPClient() *http.Client {
 	return &http.Client{Transport: &answer.Transport{RequiresEnd: true, Next: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: agentDialTimeout}).DialContext,
+		DialContext:         answer.ScanHeads((&net.Dialer{Timeout: agentDialTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConnsPerAgent,
 		IdleConnTimeout:     agentIdleTimeout,
 		TLSClientConfig:     d.options.TLS.Clone(),
--- a/internal/daemon/odd_answer_test.go
+++ b/internal/daemon/odd_answer_test.go
@@ -16,6 +16,7 @@
 func TestOddAnswerOfAnAgentIsAnError(t *testing.T) {
 	answers := map[string]string{"no length": "HTTP/1.1 200 OK\r\n\r\npart of the answer"}
 	maps.Copy(answers, answertest.OddHeads)
+	maps.Copy(answers, answertest.FoldedHeads)
 	for name, answer := range answertest.OddTrailers {
 		answers["trailer, "+name] = answer
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -76,7 +76,7 @@
 // New returns a client for the endpoint at the base URL.
 func New(base *url.URL) *Client {
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            answer.ScanHeads((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/internal/engine/odd_answer_test.go
+++ b/internal/engine/odd_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"testing"
@@ -16,7 +17,9 @@
 
 // Guards against answers of engines in trouble whose head is none, which agents passed on.
 func TestOddHeadIsNoResponse(t *testing.T) {
-	for name, answer := range answertest.OddHeads {
+	heads := maps.Clone(answertest.OddHeads)
+	maps.Copy(heads, answertest.FoldedHeads)
+	for name, answer := range heads {
 		t.Run(name, func(t *testing.T) {
 			client := engine.New(&url.URL{Scheme: "http", Host: answertest.Serve(t, answer)})
 			response, err := client.Do(context.Background(), &engine.Call{ID: "a1", Method: http.MethodPost, RequestURI: "/x", Body: []byte("body")})
--- a/internal/rpc/odd_answer_test.go
+++ b/internal/rpc/odd_answer_test.go
@@ -22,6 +22,7 @@
 		"HTTP/1.0":           "HTTP/1.0 200 OK\r\n\r\npart of the answer",
 	}
 	maps.Copy(answers, answertest.OddHeads)
+	maps.Copy(answers, answertest.FoldedHeads)
 	for name, answer := range answertest.OddTrailers {
 		answers["trailer, "+name] = answer
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -78,7 +78,7 @@
 func HTTP1Client(connectTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return checkedClient(&http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            answer.ScanHeads(dialer.DialContext),
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
