Bound the bodies of operators', endpoints' and hosts' calls together

A crowd that sent long bodies without end to the operators' or the hosts' listener made a control host exceed its memory: each body had a limit, 7 MB or more, and all together had none. Only entries had a budget for bodies.

--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -12,6 +12,9 @@
 // writes the response, so that the connection can be used again.
 const bodyDiscardTime = 200 * time.Millisecond
 
+// bodyMemoryFactor is the memory of a byte of a body: the buffer that it is read into grows by doubling.
+const bodyMemoryFactor = 2
+
 // bodyState is how far the body of the request has been read.
 type bodyState uint8
 
@@ -30,6 +33,11 @@
 	since  time.Time // of the first read
 }
 
+// BodyBudgetError reports that the bodies of open requests leave no room for the rest of another one.
+type BodyBudgetError struct{}
+
+func (e *BodyBudgetError) Error() string { return "no memory is left for the body of the request" }
+
 // Read reads the body. After an error the connection is closed with the response.
 func (b *body) Read(p []byte) (int, error) {
 	if b.since.IsZero() {
@@ -37,6 +45,9 @@
 	}
 	b.conn.beginBody(b.since)
 	n, err := b.ReadCloser.Read(p)
+	if !b.conn.takeBodyMemory(bodyMemoryFactor * int64(n)) {
+		n, err = 0, errors.WithStack(&BodyBudgetError{})
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
@@ -61,6 +72,29 @@
 	}
 }
 
+// takeBodyMemory takes memory for a part of a body until the end of the request. It reports false if there is none left.
+func (c *Conn) takeBodyMemory(bytes int64) bool {
+	budget := c.listener.options.BodyMemory
+	if budget == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !budget.TryAcquire(bytes) {
+		return false
+	}
+	c.bodyBytes += bytes
+	return true
+}
+
+// releaseBodyMemory returns what the body of a request has taken. Conn.mu must be held.
+func (c *Conn) releaseBodyMemory() {
+	if c.bodyBytes > 0 {
+		c.listener.options.BodyMemory.Release(c.bodyBytes)
+		c.bodyBytes = 0
+	}
+}
+
 func (c *Conn) setBody(s bodyState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -71,6 +71,7 @@
 	body        bodyState // of the request that is served
 	closed      bool
 	taken       int64 // from the budget, for the head of the request
+	bodyBytes   int64 // taken for its body
 }
 
 // NetConn returns the connection that c wraps.
@@ -126,6 +127,7 @@
 		c.phase, c.since = phaseIdle, time.Now()
 	}
 	c.silentPhase, c.headDone, c.body = phaseIdle, true, bodyNone
+	c.releaseBodyMemory()
 	c.mu.Unlock()
 	c.takeMemory(0)
 }
@@ -298,6 +300,7 @@
 		c.takeMemory(0)
 		c.mu.Lock()
 		c.closed = true
+		c.releaseBodyMemory()
 		c.mu.Unlock()
 		c.listener.remove(c)
 	})
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/semaphore"
 )
 
 const testHeadLimit = 4 << 10
@@ -24,7 +25,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o.MaxHeadBytes = func() int { return testHeadLimit }
+	const bodyMemory = 1 << 20
+	o.MaxHeadBytes, o.BodyMemory = func() int { return testHeadLimit }, semaphore.NewWeighted(bodyMemory)
 	limited := NewListener(l, o)
 	server := &http.Server{ConnState: limited.ConnState, ConnContext: limited.ConnContext, ErrorLog: log.New(io.Discard, "", 0),
 		Handler: limited.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -46,6 +48,9 @@
 		if used := limited.used(); used != 0 {
 			t.Errorf("%d bytes of the budget are still taken", used)
 		}
+		if !o.BodyMemory.TryAcquire(bodyMemory) {
+			t.Error("some of the budget for bodies is still taken")
+		}
 	})
 	return l.Addr().String()
 }
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Options configures a Listener.
@@ -20,6 +22,8 @@
 	MaxHeadBytes func() int
 	// Memory limits the memory of heads. It is not nil if MaxHeadBytes isn't.
 	Memory *HeadBudget
+	// BodyMemory limits the memory of the bodies that handlers have read of open requests, in bytes; nil for no limit.
+	BodyMemory *semaphore.Weighted
 	// HeadTimeout is how long a head may take from its first byte, 0 if the connections have a timeout of their own.
 	HeadTimeout time.Duration
 	// OnRefused is called with a refusal of a head or connection; nil for none.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 	"github.com/trefoilkeel/trefoilkeel/internal/inbound"
@@ -97,13 +98,14 @@
 type ServerLimits struct {
 	MaxConnections  int
 	HeadMemoryBytes int64 // of the heads of open requests together
+	BodyMemoryBytes int64 // of their bodies together
 }
 
 // ServeLimited serves HTTP/1.1 on the listener, which clients may reach that are not part of the system, until ctx
 // ends. It then gives open requests up to shutdownTimeout to finish. An error is a *ServeError.
 func ServeLimited(ctx context.Context, l net.Listener, h http.Handler, limits ServerLimits, logger *slog.Logger) error {
 	limited := inbound.NewListener(l, inbound.Options{MaxConnections: limits.MaxConnections, MaxHeadBytes: func() int { return maxHeaderBytes },
-		Memory: inbound.NewHeadBudget(limits.HeadMemoryBytes), HeadTimeout: readHeaderTimeout,
+		Memory: inbound.NewHeadBudget(limits.HeadMemoryBytes), BodyMemory: semaphore.NewWeighted(limits.BodyMemoryBytes), HeadTimeout: readHeaderTimeout,
 		OnRefused: func(client net.Addr, reason error) {
 			logger.Info("client's connection refused", "address", l.Addr().String(), "client", client.String(), "reason", reason.Error())
 		}})
