--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 	"github.com/trefoilkeel/trefoilkeel/internal/dispatch"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
@@ -24,7 +25,7 @@
 	t.Parallel()
 	for round := range 40 {
 		client := rpc.Client(nil)
-		transport := client.Transport.(*http.Transport)
+		transport := client.Transport.(*answer.Transport).Next.(*http.Transport)
 		dial := transport.DialContext
 		var shuttingDown atomic.Bool
 		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/trefoilkeel/trefoilkeel/gen/trefoilkeel/v1/trefoilkeelv1connect"
+	"github.com/trefoilkeel/trefoilkeel/internal/answer"
 	"github.com/trefoilkeel/trefoilkeel/internal/consensus"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
 )
@@ -85,7 +86,7 @@
 }
 
 func (t *redirectedTransport) CloseIdleConnections() {
-	t.base.(*http.Transport).CloseIdleConnections()
+	t.base.(*answer.Transport).CloseIdleConnections()
 }
 
 // testHost is a control host on the loopback interface.
