--- a/review/standins3/deploy.go
+++ b/review/standins3/deploy.go
@@ -51,8 +51,9 @@
 	net      string // first two octets
 	machines []*machine
 	seeds    []string
-	cloud    map[string]any
-	extra    map[string]any
+	// hostsPort is where control hosts listen for each other behind a relay, 0 without one.
+	hostsPort int
+	away      *machine // not called by the operator, nil for none
 }
 
 const (
@@ -66,6 +67,9 @@
 		listen["front"], listen["ready-addr"] = fmt.Sprintf("%s:%d", m.ip, frontPort), fmt.Sprintf("%s:%d", m.ip, readyPort)
 	} else {
 		listen["control"] = fmt.Sprintf("%s:%d", m.ip, controlPort)
+		if d.hostsPort != 0 {
+			listen["hosts"] = fmt.Sprintf("%s:%d", m.ip, d.hostsPort)
+		}
 	}
 	s := map[string]any{"node-name": m.name, "role": role, "machine-class": "front", "ip": m.ip, "zone": m.zone, "region": "r", "listen": listen,
 		"internal-ports": []int{internalFirst, internalLast}, "seeds": d.seeds, "bootstrap": bootstrap, "in-fault-budget": m.disk,
@@ -79,12 +83,6 @@
 	if m.disk {
 		s["data-dir"] = filepath.Join(m.dir, "data-"+role)
 	}
-	for k, v := range d.extra {
-		s["bounds"].(map[string]any)[k] = v
-	}
-	if d.cloud != nil {
-		s["cloud"] = d.cloud
-	}
 	encoded, _ := json.MarshalIndent(s, "", " ")
 	return encoded
 }
@@ -184,7 +182,9 @@
 // controls are the addresses that serve control.
 func (d *deployment) controls() (urls []string) {
 	for _, m := range d.machines {
-		urls = append(urls, fmt.Sprintf("http://%s:%d", m.ip, controlPort))
+		if m != d.away {
+			urls = append(urls, fmt.Sprintf("http://%s:%d", m.ip, controlPort))
+		}
 	}
 	return urls
 }
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"time"
 )
@@ -21,7 +22,7 @@
 )
 
 // cases are the scripts, by the name of the folder.
-var cases = map[string]func(rec *record, bin string, trouble bool) (broken int, err error){"encoded-slash": encodedSlash}
+var cases = map[string]func(rec *record, bin string, trouble bool) (broken int, err error){"encoded-slash": encodedSlash, "silent-snapshot": silentSnapshot}
 
 func main() {
 	bin := flag.String("bin", "target", "folder of the project's programs")
@@ -87,15 +88,12 @@
 	}
 	var workers []*worker
 	for s, service := range services {
-		for k, m := range d.machines {
-			w, err := newWorker(d, fmt.Sprintf("i-%s-%d", service, k), service, m.zone, fmt.Sprintf("%s.%d.%d", d.net, k+1, 100+s), 9100)
-			if err != nil {
-				d.stopAll()
-				return nil, nil, err
-			}
-			go w.run(k)
-			workers = append(workers, w)
+		started, err := d.addWorkers(service, 100+s, nil)
+		if err != nil {
+			d.stopAll()
+			return nil, nil, err
 		}
+		workers = append(workers, started...)
 	}
 	if d.put(content, 20*time.Second) != 200 || !d.awaitReady(15*time.Second) {
 		d.stopAll()
@@ -103,3 +101,17 @@
 	}
 	return d, workers, nil
 }
+
+// addWorkers starts a worker of a service beside each machine, with the last number of its address.
+func (d *deployment) addWorkers(service string, last int, serve func(w *worker, rw http.ResponseWriter, r *http.Request, body []byte)) (workers []*worker, err error) {
+	for k, m := range d.machines {
+		w, err := newWorker(d, fmt.Sprintf("i-%s-%d", service, k), service, m.zone, fmt.Sprintf("%s.%d.%d", d.net, k+1, last), 9100)
+		if err != nil {
+			return nil, err
+		}
+		w.serve = serve
+		go w.run(k)
+		workers = append(workers, w)
+	}
+	return workers, nil
+}
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -22,8 +22,6 @@
 	mu       sync.Mutex
 	sequence uint64
 	state    string
-	stopped  bool
-	stop     chan struct{}
 	listener net.Listener
 	server   *http.Server
 	runs     []run
@@ -39,7 +37,7 @@
 }
 
 func newWorker(d *deployment, id, service, zone, ip string, port int) (*worker, error) {
-	w := &worker{d: d, id: id, service: service, zone: zone, version: "v1", born: time.Now().UnixMilli(), slots: 16, state: "ready", stop: make(chan struct{})}
+	w := &worker{d: d, id: id, service: service, zone: zone, version: "v1", born: time.Now().UnixMilli(), slots: 16, state: "ready"}
 	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 	if err != nil {
 		return nil, err
@@ -67,25 +65,15 @@
 	return false
 }
 
-// run sends check-ins until the worker stops.
+// run sends check-ins until the program ends.
 func (w *worker) run(first int) {
 	urls := w.d.controls()
 	for k := first; ; k++ {
 		w.beat(append(append([]string{}, urls[k%len(urls):]...), urls[:k%len(urls)]...))
-		select {
-		case <-w.stop:
-			return
-		case <-time.After(1200 * time.Millisecond):
-		}
+		time.Sleep(1200 * time.Millisecond)
 	}
 }
 
-func (w *worker) setState(s string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.state = s
-}
-
 // ranCount returns how often a request ran here.
 func (w *worker) ranCount(id string) (n int) {
 	w.mu.Lock()
@@ -98,17 +86,6 @@
 	return n
 }
 
-// crash ends the worker without a word.
-func (w *worker) crash() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.stopped {
-		w.stopped = true
-		close(w.stop)
-		_ = w.server.Close()
-	}
-}
-
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	body, _ := io.ReadAll(r.Body)
