--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 )
@@ -88,7 +87,7 @@
 	}
 	var workers []*worker
 	for s, service := range services {
-		started, err := d.addWorkers(service, 100+s, nil)
+		started, err := d.addWorkers(service, 100+s)
 		if err != nil {
 			d.stopAll()
 			return nil, nil, err
@@ -103,13 +102,12 @@
 }
 
 // addWorkers starts a worker of a service beside each machine, with the last number of its address.
-func (d *deployment) addWorkers(service string, last int, serve func(w *worker, rw http.ResponseWriter, r *http.Request, body []byte)) (workers []*worker, err error) {
+func (d *deployment) addWorkers(service string, last int) (workers []*worker, err error) {
 	for k, m := range d.machines {
 		w, err := newWorker(d, fmt.Sprintf("i-%s-%d", service, k), service, m.zone, fmt.Sprintf("%s.%d.%d", d.net, k+1, last), 9100)
 		if err != nil {
 			return nil, err
 		}
-		w.serve = serve
 		go w.run(k)
 		workers = append(workers, w)
 	}
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -25,7 +25,6 @@
 	listener net.Listener
 	server   *http.Server
 	runs     []run
-	serve    func(w *worker, rw http.ResponseWriter, r *http.Request, body []byte) // nil: the plain answer
 }
 
 // run is a request that the worker ran.
@@ -102,13 +101,8 @@
 	}
 	w.mu.Lock()
 	w.runs = append(w.runs, run{at: time.Now(), id: id, method: r.Method, uri: r.RequestURI, header: r.Header.Clone(), body: body})
-	serve := w.serve
 	w.mu.Unlock()
 	w.d.rec.line("worker %s: runs %s %s %s, %d bytes", w.id, id, r.Method, r.RequestURI, len(body))
 	rw.Header().Set("X-Response-Seal", "3e1b."+id)
-	if serve != nil {
-		serve(w, rw, r, body)
-		return
-	}
 	_, _ = io.WriteString(rw, "done "+id)
 }
