Keep the hosts that form a cluster apart from those to join through

Callers: after an exchange of the seeds, a control host whose disk was full for some seconds never opened its data folder again.

Cause: one option held the hosts that form a cluster and the hosts to ask for admission. The supervisor replaced it by the present seeds at each opening, beside the Bootstrap of the start, and its check refused a host that the seeds don't name.

The initial members are checked where the folder is empty, which is where they have a meaning; an empty list of them no longer panics.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -22,12 +22,17 @@
 
 // Config configures a replica.
 type Config struct {
-	ID                uint64
-	DiskID            uint64 // identity of the data folder; never 0
-	RunNumber         uint64 // number of the process run; increases with each start
-	URL               string
-	Peers             []Member // initial hosts from the settings, including this one
-	Bootstrap         bool     // this host and its peers may form a new cluster
+	ID        uint64
+	DiskID    uint64 // identity of the data folder; never 0
+	RunNumber uint64 // number of the process run; increases with each start
+	URL       string
+	// Bootstrap lets this host and the other InitialMembers form a new cluster while its data folder is
+	// empty. In a data folder that belongs to a cluster both have no meaning.
+	Bootstrap bool
+	// InitialMembers are the hosts that form the cluster, including this one. They never change.
+	InitialMembers []Member
+	// JoinMembers are the hosts that this one asks to admit it to the cluster; see SetJoinMembers.
+	JoinMembers       []Member
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration // minimum; the maximum is twice that
 	Seed              uint64        // for the election jitter
--- a/internal/consensus/leadership.go
+++ b/internal/consensus/leadership.go
@@ -141,9 +141,8 @@
 	return n.quorumContactAt(), true
 }
 
-// SetPeers replaces Config.Peers: the hosts that this one asks to admit it to the
-// cluster, and with which it may bootstrap one.
-func (n *Node) SetPeers(peers []Member) { n.cfg.Peers = peers }
+// SetJoinMembers replaces Config.JoinMembers.
+func (n *Node) SetJoinMembers(members []Member) { n.cfg.JoinMembers = members }
 
 // tickLeader steps down if no quorum answers, and otherwise advances membership
 // changes and the leadership transfer.
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -194,11 +194,15 @@
 	}
 }
 
-// joinTargets returns the IDs of the configured peers and of the members, without
-// this host.
+// joinTargets returns the IDs of the hosts to ask for admission, without this host. The
+// initial members are among them until this data folder belongs to a cluster.
 func (n *Node) joinTargets(m Membership) []uint64 {
+	var initial []Member
+	if n.hardState.ClusterID == 0 && n.cfg.Bootstrap {
+		initial = n.cfg.InitialMembers
+	}
 	var ids []uint64
-	for _, member := range slices.Concat(n.cfg.Peers, m.Members) {
+	for _, member := range slices.Concat(initial, n.cfg.JoinMembers, m.Members) {
 		if member.ID != n.cfg.ID && !slices.Contains(ids, member.ID) {
 			ids = append(ids, member.ID)
 		}
@@ -209,18 +213,25 @@
 // mayBootstrap reports whether this host may form the cluster: it has the lowest
 // ID of the initial hosts and an empty data folder.
 func (n *Node) mayBootstrap() bool {
-	if !n.cfg.Bootstrap || n.hardState.ClusterID != 0 {
-		return false
+	return n.cfg.Bootstrap && n.hardState.ClusterID == 0 && n.lowestInitialID() == n.cfg.ID
+}
+
+// lowestInitialID returns the lowest ID of the initial members, 0 if there are none.
+func (n *Node) lowestInitialID() uint64 {
+	lowest := uint64(0)
+	for _, member := range n.cfg.InitialMembers {
+		if lowest == 0 || member.ID < lowest {
+			lowest = member.ID
+		}
 	}
-	lowest := slices.MinFunc(n.cfg.Peers, func(a, b Member) int { return int(a.ID) - int(b.ID) })
-	return lowest.ID == n.cfg.ID
+	return lowest
 }
 
 // bootstrapBlockers returns the initial hosts that have not recently confirmed that
 // their data folder is empty.
 func (n *Node) bootstrapBlockers() []uint64 {
 	var blockers []uint64
-	for _, peer := range n.cfg.Peers {
+	for _, peer := range n.cfg.InitialMembers {
 		seenAt, ok := n.emptyPeerSeenAt[peer.ID]
 		recent := ok && n.now-seenAt < recentContactElectionTimeouts*n.cfg.ElectionTimeout
 		if peer.ID != n.cfg.ID && !recent {
@@ -236,7 +247,7 @@
 	n.hardState = HardState{Term: 1, VotedFor: n.cfg.DiskID, ClusterID: n.cfg.DiskID}
 	n.hardStateDirty = true
 	var m Membership
-	for _, peer := range n.cfg.Peers {
+	for _, peer := range n.cfg.InitialMembers {
 		if peer.ID == n.cfg.ID {
 			m = m.withMember(Member{ID: peer.ID, DiskID: n.cfg.DiskID, URL: peer.URL, IsVoter: true, Ephemeral: n.cfg.Ephemeral})
 			continue
--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -79,7 +79,8 @@
 	h.running, h.pendingWrite, h.startedAt, h.reportedLeaseEnd = true, nil, net.now, distantPast
 	h.appliedIndex, h.stateHash = h.persisted.Snapshot.Index, string(h.persisted.Snapshot.Data)
 	cfg := Config{ID: h.id, DiskID: h.diskID, RunNumber: net.startCount, Bootstrap: h.id <= 3, Seed: net.startCount*7919 + h.id}
-	cfg.Peers = []Member{{ID: 1}, {ID: 2}, {ID: 3}}
+	cfg.InitialMembers = []Member{{ID: 1}, {ID: 2}, {ID: 3}}
+	cfg.JoinMembers = cfg.InitialMembers
 	if net.configure != nil {
 		net.configure(h, &cfg)
 	}
--- a/internal/control/bench_ledger_test.go
+++ b/internal/control/bench_ledger_test.go
@@ -92,7 +92,7 @@
 	for i, m := range members {
 		machine := state.New(state.Options{})
 		log := must(replica.Open(replica.Options{ID: m.ID, ClusterName: "bench", DataDir: b.TempDir(), SelfURL: m.URL,
-			InitialMembers: members, Bootstrap: true, NewStateMachine: func() replica.StateMachine { return machine }, HTTPClient: rpc.Client(nil), Logger: slog.New(slog.DiscardHandler)}))
+			InitialMembers: members, JoinMembers: members, Bootstrap: true, NewStateMachine: func() replica.StateMachine { return machine }, HTTPClient: rpc.Client(nil), Logger: slog.New(slog.DiscardHandler)}))
 		server := control.New(control.Options{StateMachine: machine, Log: log, Settings: s})
 		replicas, servers = append(replicas, log), append(servers, server)
 		mux := http.NewServeMux()
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,12 +47,14 @@
 		return
 	}
 	var stateMachine *state.Machine
+	members := d.initialMembers(s, role)
 	logReplica, err := replica.Open(replica.Options{
 		ID:              s.ID,
 		ClusterName:     s.ClusterID,
 		DataDir:         d.settings.Process.DataFolder,
 		SelfURL:         role.url,
-		InitialMembers:  d.initialMembers(s, role),
+		InitialMembers:  members,
+		JoinMembers:     members,
 		Bootstrap:       s.Bootstrap,
 		NewStateMachine: func() replica.StateMachine { stateMachine = state.New(state.Options{}); return stateMachine },
 		HTTPClient:      d.rpcClient(),
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -57,7 +57,7 @@
 	for i, server := range servers {
 		client := rpc.Client(nil)
 		client.Transport = &pauseTransport{paused: &p.paused[i], unconfirmed: &p.unconfirmed[i], base: client.Transport}
-		o := replica.Options{ID: members[i].ID, ClusterName: "c", SelfURL: members[i].URL, InitialMembers: members[:voters],
+		o := replica.Options{ID: members[i].ID, ClusterName: "c", SelfURL: members[i].URL, InitialMembers: members[:voters], JoinMembers: members[:voters],
 			Bootstrap: i < voters, MinVoters: voters, HTTPClient: client, Logger: discardLogger}
 		if o.Ephemeral = i >= voters; !o.Ephemeral {
 			o.DataDir = t.TempDir()
--- a/internal/fleet/election_test.go
+++ b/internal/fleet/election_test.go
@@ -39,7 +39,7 @@
 	var hosts []*replicatedHost
 	for i, l := range listeners {
 		url := members[i].URL
-		log := NewReplicaSupervisor(replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: t.TempDir(), SelfURL: url, InitialMembers: members, Bootstrap: true,
+		log := NewReplicaSupervisor(replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: t.TempDir(), SelfURL: url, InitialMembers: members, JoinMembers: members, Bootstrap: true,
 			MinVoters: count, HTTPClient: &http.Client{Transport: &http.Transport{}}, Logger: discardLogger})
 		h := &replicatedHost{log: log, url: url, Server: NewServer(ServerOptions{Log: log, State: log, FailureDomain: "a", SelfURL: url, MinVoters: count, HTTPClient: http.DefaultClient, Logger: discardLogger})}
 		path, handler := h.Handler()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -293,7 +293,7 @@
 func TestFailedDataFolderIsReopened(t *testing.T) {
 	g := NewWithT(t)
 	supervisor := NewReplicaSupervisor(replica.Options{ID: 1, ClusterName: "c", DataDir: "/dev/null/no-folder", Logger: discardLogger,
-		InitialMembers: []replica.Member{{ID: 1}}})
+		JoinMembers: []replica.Member{{ID: 1}}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- supervisor.Run(ctx) }()
--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -61,7 +61,7 @@
 	for i, server := range listeners {
 		folder := t.TempDir()
 		options := replica.Options{ID: members[i].ID, ClusterName: "c", DataDir: folder, SelfURL: members[i].URL,
-			InitialMembers: members, Bootstrap: true, MinVoters: count, HTTPClient: rpc.Client(nil), Logger: discardLogger}
+			InitialMembers: members, JoinMembers: members, Bootstrap: true, MinVoters: count, HTTPClient: rpc.Client(nil), Logger: discardLogger}
 		if adjust != nil {
 			adjust(&options)
 		}
@@ -316,10 +316,65 @@
 	client := rpc.Client(nil)
 	defer client.CloseIdleConnections()
 	s = NewReplicaSupervisor(replica.Options{ID: 1, ClusterName: "c", DataDir: t.TempDir(), SelfURL: "http://127.0.0.1:1", MinVoters: 1,
-		InitialMembers: []replica.Member{{ID: 2, URL: "http://127.0.0.1:1"}}, HTTPClient: client, Logger: slog.New(handler)})
+		JoinMembers: []replica.Member{{ID: 2, URL: "http://127.0.0.1:1"}}, HTTPClient: client, Logger: slog.New(handler)})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Run(ctx) }()
 	defer func() { cancel(); <-done }()
 	g.Eventually(asked, reopenTimeout).Should(Receive())
 }
+
+// Guards against a data folder that stays closed after its disk was full, because the seeds no longer name its host: the
+// hosts to join through say nothing about a folder that belongs to a cluster.
+func TestDataFolderOpensWhateverTheHostsToJoinThroughAre(t *testing.T) {
+	unreachable := func(id uint64) replica.Member { return replica.Member{ID: id, URL: "http://127.0.0.1:1"} }
+	otherRole := httptest.NewServer(http.NotFoundHandler())
+	defer otherRole.Close()
+	for name, lists := range map[string]func(initial []replica.Member) [][]replica.Member{
+		"this host removed": func(initial []replica.Member) [][]replica.Member { return [][]replica.Member{initial[1:]} },
+		"this host moved": func(initial []replica.Member) [][]replica.Member {
+			return [][]replica.Member{{unreachable(1), initial[1], initial[2]}}
+		},
+		"all others exchanged": func(initial []replica.Member) [][]replica.Member {
+			return [][]replica.Member{{initial[0], unreachable(4), unreachable(5)}}
+		},
+		"all exchanged": func([]replica.Member) [][]replica.Member {
+			return [][]replica.Member{{unreachable(4), unreachable(5), unreachable(6)}}
+		},
+		"another role": func([]replica.Member) [][]replica.Member {
+			return [][]replica.Member{{{ID: 4, URL: otherRole.URL}}}
+		},
+		"exchanged twice": func(initial []replica.Member) [][]replica.Member {
+			return [][]replica.Member{{unreachable(4)}, {unreachable(5), unreachable(6)}}
+		},
+		"exchanged and back": func(initial []replica.Member) [][]replica.Member {
+			return [][]replica.Member{{unreachable(4)}, initial}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var initial []replica.Member
+			hosts := startAdjustedLogHosts(t, 3, func(o *replica.Options) { initial = o.InitialMembers })
+			for _, h := range hosts {
+				g.Eventually(func() bool { return h.Status().IsVoter }, reopenTimeout, "5ms").Should(BeTrue())
+			}
+			hosts[0].propose(g, document.EncodeCommand(1, []byte("one")))
+			for _, members := range lists(initial) {
+				for _, h := range hosts {
+					g.Expect(h.SetJoinMembers(context.Background(), members)).To(Succeed())
+				}
+			}
+			for i, h := range hosts {
+				opening := h.State().Replaced
+				h.fillDisk(g)
+				hosts[(i+1)%3].propose(g, document.EncodeCommand(uint64(i+2), []byte("change")))
+				g.Eventually(opening, reopenTimeout).Should(BeClosed(), "the disk of host %d was full", i+1)
+				g.Eventually(func() bool {
+					status := h.Status()
+					return status.IsVoter && status.LeaderID != 0 && h.State().UpToDate
+				}, "5s", "5ms").Should(BeTrue(), "host %d counts again", i+1)
+			}
+			expectEqualCopies(g, hosts)
+		})
+	}
+}
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -52,13 +52,12 @@
 }
 
 // NewReplicaSupervisor returns a supervisor for a replica with the options; it sets
-// NewStateMachine itself. A host that is not among the initial members requests admission
-// from them. Each read is confirmed by a quorum, so no leader lease is used.
+// NewStateMachine itself. Each read is confirmed by a quorum, so no leader lease is used.
 func NewReplicaSupervisor(o replica.Options) *ReplicaSupervisor {
 	o.AdmitUnknownHosts, o.DisableLease, o.Repairs = true, true, &replica.Repairs{}
 	o.HeartbeatInterval, o.ElectionTimeout, o.StepTimeout = heartbeatInterval, electionTimeout, stepTimeout
 	s := &ReplicaSupervisor{options: o, logger: o.Logger}
-	s.joinMembers.Store(&o.InitialMembers)
+	s.joinMembers.Store(&o.JoinMembers)
 	s.current.Store(&opening{replaced: make(chan struct{})})
 	return s
 }
@@ -112,7 +111,7 @@
 // at closedAt.
 func (s *ReplicaSupervisor) runOnce(ctx context.Context, closedAt time.Time) (opened bool, err error) {
 	options, members := s.options, s.joinMembers.Load()
-	options.InitialMembers = *members
+	options.JoinMembers = *members
 	var restored *document.StateMachine // by Open
 	options.NewStateMachine = func() replica.StateMachine {
 		machine := document.New()
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -48,12 +48,15 @@
 	ClusterName string
 	DataDir     string // data folder; "" for an ephemeral host, which keeps its log in memory
 	SelfURL     string
-	// InitialMembers are the initial hosts from the settings, including this one.
-	InitialMembers []Member
 	// Bootstrap lets the initial hosts form a new cluster once all of them
 	// report that their data folder is empty. With or without it, a host with
 	// an empty folder joins an existing cluster as a learner.
 	Bootstrap bool
+	// InitialMembers are the hosts that form the cluster with Bootstrap, including this one. They are the same for
+	// all openings of a data folder, and have no meaning once it belongs to a cluster.
+	InitialMembers []Member
+	// JoinMembers are the hosts that this one asks for admission to a cluster; see SetJoinMembers.
+	JoinMembers []Member
 	// Ephemeral marks a host without a disk, which follows and never votes.
 	Ephemeral bool
 	// DisableLease turns off the leader lease, for a log whose reads wait for a
@@ -123,7 +126,6 @@
 func (e *OptionsError) Error() string { return "replica option " + e.Field + ": " + e.Reason }
 
 func (o Options) validate() error {
-	self := slices.IndexFunc(o.InitialMembers, func(m Member) bool { return m.ID == o.ID })
 	switch {
 	case o.ID == 0:
 		return &OptionsError{Field: "ID", Reason: "must not be 0"}
@@ -131,7 +133,13 @@
 		return &OptionsError{Field: "DataDir", Reason: "must name the data folder"}
 	case o.NewStateMachine == nil:
 		return &OptionsError{Field: "NewStateMachine", Reason: "is missing"}
-	case o.Bootstrap && self < 0:
+	}
+	return nil
+}
+
+// validateBootstrap checks the options that have a meaning for an empty data folder alone.
+func (o Options) validateBootstrap() error {
+	if o.Bootstrap && !slices.ContainsFunc(o.InitialMembers, func(m Member) bool { return m.ID == o.ID }) {
 		return &OptionsError{Field: "InitialMembers", Reason: "must list this host to form a cluster"}
 	}
 	return nil
@@ -227,6 +235,11 @@
 
 // newReplica creates the replica on an open journal.
 func newReplica(o Options, j store, stored consensus.PersistedState) (*Replica, error) {
+	if stored.HardState.ClusterID == 0 {
+		if err := o.validateBootstrap(); err != nil {
+			return nil, err
+		}
+	}
 	machine := o.NewStateMachine()
 	if stored.Snapshot.Index > 0 {
 		if err := machine.Restore(stored.Snapshot.Data); err != nil {
@@ -237,10 +250,8 @@
 	config := consensus.Config{ID: o.ID, DiskID: identity.DiskID, RunNumber: identity.RunNumber, URL: o.SelfURL,
 		Bootstrap: o.Bootstrap, Ephemeral: o.Ephemeral, DisableLease: o.DisableLease,
 		AdmitUnknownHosts: o.AdmitUnknownHosts, MinVoters: o.MinVoters, HeartbeatInterval: o.HeartbeatInterval,
-		ElectionTimeout: o.ElectionTimeout, Seed: identity.DiskID ^ identity.RunNumber}
-	for _, m := range o.InitialMembers {
-		config.Peers = append(config.Peers, consensus.Member{ID: m.ID, URL: m.URL})
-	}
+		ElectionTimeout: o.ElectionTimeout, Seed: identity.DiskID ^ identity.RunNumber,
+		InitialMembers: toConsensusMembers(o.InitialMembers), JoinMembers: toConsensusMembers(o.JoinMembers)}
 	node, err := consensus.New(config, stored, 0)
 	if err != nil {
 		return nil, err
@@ -258,7 +269,7 @@
 		digests:        newDigests(o.ID), appliedMembership: stored.Snapshot.Membership,
 		repairWanted: make(chan struct{}, 2),
 	}
-	r.joinMembers.Store(&o.InitialMembers)
+	r.joinMembers.Store(&o.JoinMembers)
 	if odd := o.Repairs.beginOpening(stored.Snapshot.Index); odd != nil {
 		o.Logger.Warn("stored copy of the state not used, it differs from the majority's", "id", o.ID, "snapshot", stored.Snapshot.Index,
 			"index", odd.Index, "restored", odd.Restored)
@@ -272,6 +283,15 @@
 	return r, nil
 }
 
+// toConsensusMembers converts members to those of the consensus node.
+func toConsensusMembers(members []Member) []consensus.Member {
+	var converted []consensus.Member
+	for _, m := range members {
+		converted = append(converted, consensus.Member{ID: m.ID, URL: m.URL})
+	}
+	return converted
+}
+
 func (r *Replica) Stats() *Stats { return &r.stats }
 
 // BytesRead returns how many bytes of the journal were read at the start.
--- a/internal/replica/read_barrier.go
+++ b/internal/replica/read_barrier.go
@@ -129,9 +129,5 @@
 
 // setJoinMembers passes the hosts to ask for admission to the node.
 func (l *nodeLoop) setJoinMembers(members []Member) {
-	var peers []consensus.Member
-	for _, m := range members {
-		peers = append(peers, consensus.Member{ID: m.ID, URL: m.URL})
-	}
-	l.node.SetPeers(peers)
+	l.node.SetJoinMembers(toConsensusMembers(members))
 }
--- a/internal/replica/read_barrier_test.go
+++ b/internal/replica/read_barrier_test.go
@@ -43,7 +43,7 @@
 			if o.AdmitUnknownHosts = true; o.ID == 4 {
 				o.Ephemeral, o.DataDir = true, ""
 			}
-			o.Bootstrap, o.InitialMembers = o.ID < 4, o.InitialMembers[:3]
+			o.Bootstrap, o.InitialMembers, o.JoinMembers = o.ID < 4, o.InitialMembers[:3], o.InitialMembers[:3]
 		})
 		c.proposeUntilApplied(1, "a")
 		for range 2 {
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -208,7 +208,7 @@
 	h.machine = &listMachine{}
 	client := rpc.Client(nil)
 	client.Transport = &redirectedTransport{host: h, base: client.Transport}
-	options := Options{ID: id, ClusterName: "test", DataDir: h.dir, SelfURL: h.url, InitialMembers: c.members,
+	options := Options{ID: id, ClusterName: "test", DataDir: h.dir, SelfURL: h.url, InitialMembers: c.members, JoinMembers: c.members,
 		Bootstrap: bootstrap, NewStateMachine: func() StateMachine { return h.machine }, HTTPClient: client}
 	if c.adjustOptions != nil {
 		c.adjustOptions(&options)
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -16,14 +17,14 @@
 )
 
 // hostURL returns the base URL of a host, "" if it is unknown. The membership
-// comes first, then the hosts to join through, then the host's own report.
+// comes first, then the hosts to join through and the initial ones, then the host's own report.
 func (r *Replica) hostURL(id uint64) string {
 	for _, m := range r.nodeStatus.Load().Membership.Members {
 		if m.ID == id && m.URL != "" {
 			return m.URL
 		}
 	}
-	for _, m := range *r.joinMembers.Load() {
+	for _, m := range slices.Concat(*r.joinMembers.Load(), r.options.InitialMembers) {
 		if m.ID == id && m.URL != "" {
 			return m.URL
 		}
