Hand a changed list of hosts to join through to the node loop without a queue

After an exchange of the seeds a control host could go on asking hosts that are gone for its admission, until its next reload.

Cause: the list went through the queue of control requests. If that was full, or the caller's time ended, the change was logged and not tried again. An empty list was no list to the handler, which took the request for a change of the members: a leader added a member with the ID 0.

Change: the newest list is kept beside the loop, which hands it to the node at its next tick. Setting it can't fail, so nothing is left to be retried.

Tests: the spec "asks the newest hosts to join through" and the case "none left" of TestDataFolderOpensWhateverTheHostsToJoinThroughAre failed on, with the calls written for its signature, and pass now.

--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -311,7 +311,7 @@
 	defer server.Close()
 	var s *ReplicaSupervisor
 	handler := openingHandler{discardLogger.Handler(), func() {
-		_ = s.SetJoinMembers(context.Background(), []replica.Member{{ID: 3, URL: server.URL}})
+		s.SetJoinMembers([]replica.Member{{ID: 3, URL: server.URL}})
 	}}
 	client := rpc.Client(nil)
 	defer client.CloseIdleConnections()
@@ -341,6 +341,7 @@
 		"all exchanged": func([]replica.Member) [][]replica.Member {
 			return [][]replica.Member{{unreachable(4), unreachable(5), unreachable(6)}}
 		},
+		"none left": func([]replica.Member) [][]replica.Member { return [][]replica.Member{nil} },
 		"another role": func([]replica.Member) [][]replica.Member {
 			return [][]replica.Member{{{ID: 4, URL: otherRole.URL}}}
 		},
@@ -361,7 +362,7 @@
 			hosts[0].propose(g, document.EncodeCommand(1, []byte("one")))
 			for _, members := range lists(initial) {
 				for _, h := range hosts {
-					g.Expect(h.SetJoinMembers(context.Background(), members)).To(Succeed())
+					h.SetJoinMembers(members)
 				}
 			}
 			for i, h := range hosts {
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -110,8 +110,8 @@
 // runOnce opens the replica and runs it until it fails. It reports whether the data folder was opened, which was closed
 // at closedAt.
 func (s *ReplicaSupervisor) runOnce(ctx context.Context, closedAt time.Time) (opened bool, err error) {
-	options, members := s.options, s.joinMembers.Load()
-	options.JoinMembers = *members
+	options := s.options
+	options.JoinMembers = *s.joinMembers.Load()
 	var restored *document.StateMachine // by Open
 	options.NewStateMachine = func() replica.StateMachine {
 		machine := document.New()
@@ -151,13 +151,9 @@
 	} else {
 		publish(nil)
 	}
-	if s.joinMembers.Load() != members { // changed before this opening was published
-		confirms.Go(func() {
-			if err := r.SetJoinMembers(ctx, *s.joinMembers.Load()); err != nil {
-				s.logger.Warn("hosts to join through not updated", "error", err)
-			}
-		})
-	}
+	s.publishing.Lock()
+	r.SetJoinMembers(*s.joinMembers.Load()) // which may have changed before this opening was published
+	s.publishing.Unlock()
 	defer func() {
 		s.publishing.Lock()
 		closed = true
@@ -223,12 +219,13 @@
 
 // SetJoinMembers replaces the hosts to request admission from, also when the replica is
 // reopened later.
-func (s *ReplicaSupervisor) SetJoinMembers(ctx context.Context, members []replica.Member) error {
+func (s *ReplicaSupervisor) SetJoinMembers(members []replica.Member) {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	s.joinMembers.Store(&members)
 	if running := s.running(); running != nil {
-		return running.SetJoinMembers(ctx, members)
+		running.SetJoinMembers(members)
 	}
-	return nil
 }
 
 // Propose appends a command; see replica.Replica.Propose.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -42,14 +42,12 @@
 }
 
 // controlRequest asks the node loop for one operation: to read the read index,
-// to set the hosts to join through, to transfer the leadership, or else to
-// change the membership.
+// to transfer the leadership, or else to change the membership.
 type controlRequest struct {
 	transferLeadership bool
 	member             consensus.Member
 	remove             bool
 	readIndex          *readIndex // filled in by the node loop; nil for other operations
-	joinMembers        []Member   // hosts to ask for admission to the cluster; nil for other operations
 	mayLead            *bool      // nil for other operations
 	rebuild            *rebuild   // nil for other operations
 	done               chan outcome
@@ -178,11 +176,6 @@
 		c.done <- outcome{err: l.startRebuild(ctx, c.rebuild)}
 		return
 	}
-	if c.joinMembers != nil {
-		l.setJoinMembers(c.joinMembers)
-		c.done <- outcome{}
-		return
-	}
 	if c.readIndex != nil {
 		index, at, err := l.node.ReadIndex(l.now())
 		if err != nil {
--- a/internal/replica/read_barrier.go
+++ b/internal/replica/read_barrier.go
@@ -120,14 +120,13 @@
 }
 
 // SetJoinMembers replaces the hosts that this one asks for admission to the
-// cluster. The error is an *OutcomeUnknownError or a *refusedError; after either,
-// the call may be repeated.
-func (r *Replica) SetJoinMembers(ctx context.Context, members []Member) error {
-	r.joinMembers.Store(&members)
-	return r.submitControl(ctx, &controlRequest{joinMembers: members, done: make(chan outcome, 1)})
-}
+// cluster, from the next tick on.
+func (r *Replica) SetJoinMembers(members []Member) { r.joinMembers.Store(&members) }
 
-// setJoinMembers passes the hosts to ask for admission to the node.
-func (l *nodeLoop) setJoinMembers(members []Member) {
-	l.node.SetJoinMembers(toConsensusMembers(members))
+// updateJoinMembers passes the hosts to ask for admission to the node if they were replaced.
+func (l *nodeLoop) updateJoinMembers() {
+	if members := l.joinMembers.Load(); members != l.nodeJoinMembers {
+		l.nodeJoinMembers = members
+		l.node.SetJoinMembers(toConsensusMembers(*members))
+	}
 }
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -83,12 +83,14 @@
 	writingSnapshot bool           // it is a snapshot of the own state
 	pendingSnapshot *stateSnapshot // to be written to the journal next
 	ledAt           time.Duration  // when this replica last led
+	nodeJoinMembers *[]Member      // that the node has
 }
 
 // run handles inputs in batches, and passes on the node's output after each batch.
 func (l *nodeLoop) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	l.updateJoinMembers()
 	l.node.Tick(l.now())
 	l.flush(ctx)
 	for {
@@ -96,6 +98,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			l.updateJoinMembers()
 			l.node.Tick(l.now())
 			l.failStranded()
 		case batch := <-l.messages.Chan():
