Let a host agree only to the cluster that its own initial members name

Callers: none is known to have met it. Where hosts start with two lists of initial members, as after an exchange of the seeds before the cluster has formed, two clusters could form, each with a leader that acknowledges configurations.

Cause: a host with an empty data folder told any host that it is empty, also while it was itself about to form a cluster with other hosts.

Change: a host that has the right to form the cluster agrees to the lowest ID of its own initial members alone.

Test: "hosts that differ in their initial members".

--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -198,7 +198,7 @@
 // initial members are among them until this data folder belongs to a cluster.
 func (n *Node) joinTargets(m Membership) []uint64 {
 	var initial []Member
-	if n.hardState.ClusterID == 0 && n.cfg.Bootstrap {
+	if n.canBootstrap() {
 		initial = n.cfg.InitialMembers
 	}
 	var ids []uint64
@@ -213,7 +213,19 @@
 // mayBootstrap reports whether this host may form the cluster: it has the lowest
 // ID of the initial hosts and an empty data folder.
 func (n *Node) mayBootstrap() bool {
-	return n.cfg.Bootstrap && n.hardState.ClusterID == 0 && n.lowestInitialID() == n.cfg.ID
+	return n.canBootstrap() && n.lowestInitialID() == n.cfg.ID
+}
+
+// canBootstrap reports whether this host is one of those that may form the cluster together.
+func (n *Node) canBootstrap() bool {
+	return n.cfg.Bootstrap && n.hardState.ClusterID == 0
+}
+
+// agreesToBootstrap reports whether this host, whose data folder is empty, agrees that another one forms the
+// cluster. One that may form it itself agrees to the host that its own initial members name alone: else two
+// hosts with different initial members could each form a cluster.
+func (n *Node) agreesToBootstrap(id uint64) bool {
+	return !n.cfg.Bootstrap || n.lowestInitialID() == id
 }
 
 // lowestInitialID returns the lowest ID of the initial members, 0 if there are none.
@@ -227,12 +239,12 @@
 	return lowest
 }
 
-// bootstrapBlockers returns the initial hosts that have not recently confirmed that
-// their data folder is empty.
+// bootstrapBlockers returns the initial hosts that have not recently agreed that this
+// host forms the cluster.
 func (n *Node) bootstrapBlockers() []uint64 {
 	var blockers []uint64
 	for _, peer := range n.cfg.InitialMembers {
-		seenAt, ok := n.emptyPeerSeenAt[peer.ID]
+		seenAt, ok := n.bootstrapAgreedAt[peer.ID]
 		recent := ok && n.now-seenAt < recentContactElectionTimeouts*n.cfg.ElectionTimeout
 		if peer.ID != n.cfg.ID && !recent {
 			blockers = append(blockers, peer.ID)
@@ -274,11 +286,11 @@
 }
 
 // handleJoin registers a data folder as a learner, or forwards the join to the
-// leader. If this host's own folder is empty, it replies with that, since the
-// bootstrapping host waits for such replies.
+// leader. If this host's own folder is empty, it replies that it agrees to a new
+// cluster, since the bootstrapping host waits for such replies.
 func (n *Node) handleJoin(m Message) {
 	if n.hardState.ClusterID == 0 {
-		if m.ClusterID == 0 {
+		if m.ClusterID == 0 && n.agreesToBootstrap(m.From) {
 			n.sendNow(Message{Type: MsgJoinReply, To: m.From, ToDiskID: m.DiskID, RequesterOrForwarderDiskID: m.DiskID})
 		}
 		return
@@ -337,10 +349,10 @@
 	n.sendNow(Message{Type: MsgJoin, To: m.From, URL: n.cfg.URL, Ephemeral: n.cfg.Ephemeral, Term: m.Term, SentAt: m.SentAt})
 }
 
-// handleJoinReply records that another host has an empty data folder. Replies to
+// handleJoinReply records that another host agrees to a new cluster. Replies to
 // a request from an earlier folder of this host don't count.
 func (n *Node) handleJoinReply(m Message) {
 	if n.hardState.ClusterID == 0 && m.ClusterID == 0 && m.RequesterOrForwarderDiskID == n.cfg.DiskID {
-		n.emptyPeerSeenAt[m.From] = n.now
+		n.bootstrapAgreedAt[m.From] = n.now
 	}
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -22,7 +22,7 @@
 	withholdVoteUntil time.Duration     // a leader may hold a lease until then
 	grantedVotes      map[uint64]uint64 // host ID to disk ID
 	nextJoinAt        time.Duration
-	emptyPeerSeenAt   map[uint64]time.Duration // by host ID
+	bootstrapAgreedAt map[uint64]time.Duration // by host ID
 
 	progress         map[uint64]*progress
 	termStartIndex   uint64 // leader only: first entry of its term
@@ -49,7 +49,7 @@
 	}
 	n := &Node{cfg: cfg.withDefaults(), rngState: cfg.Seed | 1, now: now, hardState: stored.HardState, log: log,
 		commitIndex: stored.Snapshot.Index, appliedIndex: stored.Snapshot.Index,
-		emptyPeerSeenAt: map[uint64]time.Duration{}}
+		bootstrapAgreedAt: map[uint64]time.Duration{}}
 	n.withholdVoteUntil = now + n.cfg.ElectionTimeout
 	n.reportedLeaseEnd = distantPast
 	n.resetElectionTimer()
--- a/internal/consensus/open_network_test.go
+++ b/internal/consensus/open_network_test.go
@@ -337,3 +337,61 @@
 		t.Fatalf("%d steps and %d confirmed reads are too few", steps, confirmed)
 	}
 }
+
+// clusterIDs returns the clusters that the data folders of the hosts belong to, without 0.
+func (net *network) clusterIDs() map[uint64]bool {
+	ids := map[uint64]bool{}
+	for _, h := range net.hosts {
+		if id := h.node.Status().ClusterID; id != 0 {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+func membersWithIDs(ids ...uint64) []Member {
+	var members []Member
+	for _, id := range ids {
+		members = append(members, Member{ID: id})
+	}
+	return members
+}
+
+// Guards against a second cluster, and against none, where the hosts disagree about the list of those that form it.
+var _ = ginkgo.Describe("hosts that differ in their initial members", func() {
+	start := func(listOf map[uint64][]Member) *network {
+		return newConfiguredNetwork(ginkgo.GinkgoT(), equalClockRates(openNetworkSize), func(h *testHost, cfg *Config) {
+			cfg.AdmitUnknownHosts, cfg.MinVoters, cfg.DisableLease = true, 3, true
+			cfg.Bootstrap = listOf[h.id] != nil && isFirstStart(h)
+			cfg.InitialMembers, cfg.JoinMembers = listOf[h.id], listOf[h.id]
+			if listOf[h.id] == nil {
+				cfg.JoinMembers = membersWithIDs(1, 2)
+			}
+		})
+	}
+
+	ginkgo.It("form one cluster, with the host that both lists name", func() {
+		former, latter := membersWithIDs(1, 2, 3), membersWithIDs(2, 4, 5)
+		net := start(map[uint64][]Member{1: former, 2: latter, 3: former, 4: latter, 5: latter})
+		net.runFor(8 * time.Second)
+		Expect(net.clusterIDs()).To(HaveLen(1))
+		Expect(net.activeLeader().node.Status().Membership.Members).To(HaveLen(openNetworkSize))
+	})
+
+	ginkgo.It("form one cluster though the hosts to join through were exchanged before", func() {
+		initial := membersWithIDs(1, 2, 3)
+		net := start(map[uint64][]Member{1: initial, 2: initial, 3: initial})
+		for _, h := range net.hosts[:3] {
+			h.node.SetJoinMembers(membersWithIDs(4, 5, 6))
+		}
+		net.runFor(8 * time.Second)
+		Expect(net.clusterIDs()).To(HaveLen(1))
+		Expect(net.activeLeader().node.Status().Membership.Members).To(HaveLen(openNetworkSize))
+	})
+
+	ginkgo.It("form none without any initial member", func() {
+		net := start(map[uint64][]Member{1: {}})
+		net.runFor(8 * time.Second)
+		Expect(net.clusterIDs()).To(BeEmpty())
+	})
+})
