Form no second cluster after the own data folder was emptied

Callers: none is known to have met it. A control process that was started with the right to form a cluster, and whose data folder was emptied and opened again after a disk error, could form a new cluster in place of the one that it belonged to: a single voter did so at once, and then took configurations without those acknowledged before.

Cause: that right outlasted the data folder.

Change: the supervisor remembers that a synced data folder of its process belonged to a cluster. Later openings neither form one nor agree to one, and wait to be admitted; refusals say so. What was not synced does not count, so that a first write that fails does not keep the cluster from forming.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -31,6 +31,9 @@
 	Bootstrap bool
 	// InitialMembers are the hosts that form the cluster, including this one. They never change.
 	InitialMembers []Member
+	// FormerMember means that this host has belonged to a cluster with a data folder that it lost. It forms
+	// none, and does not count as empty for a host that would.
+	FormerMember bool
 	// JoinMembers are the hosts that this one asks to admit it to the cluster; see SetJoinMembers.
 	JoinMembers       []Member
 	HeartbeatInterval time.Duration
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -218,14 +218,14 @@
 
 // canBootstrap reports whether this host is one of those that may form the cluster together.
 func (n *Node) canBootstrap() bool {
-	return n.cfg.Bootstrap && n.hardState.ClusterID == 0
+	return n.cfg.Bootstrap && !n.cfg.FormerMember && n.hardState.ClusterID == 0
 }
 
 // agreesToBootstrap reports whether this host, whose data folder is empty, agrees that another one forms the
 // cluster. One that may form it itself agrees to the host that its own initial members name alone: else two
 // hosts with different initial members could each form a cluster.
 func (n *Node) agreesToBootstrap(id uint64) bool {
-	return !n.cfg.Bootstrap || n.lowestInitialID() == id
+	return !n.cfg.FormerMember && (!n.cfg.Bootstrap || n.lowestInitialID() == id)
 }
 
 // lowestInitialID returns the lowest ID of the initial members, 0 if there are none.
--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -379,3 +379,20 @@
 		})
 	}
 }
+
+// Guards against a host that forms a second cluster in place of the one that it belonged to, once its data folder was
+// emptied. It is the only voter, so that no other host keeps it from that.
+func TestHostThatBelongedToAClusterFormsNoOtherOne(t *testing.T) {
+	g := NewWithT(t)
+	host := startLogHosts(t, 1)[0]
+	host.propose(g, document.EncodeCommand(1, []byte("one")))
+	opening := host.State().Replaced
+	host.fillDisk(g)
+	g.Expect(os.Remove(filepath.Join(host.folder, journal.FileName))).To(Succeed())
+	_, err := host.Propose(t.Context(), document.EncodeCommand(2, []byte("two")))
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(opening, reopenTimeout).Should(BeClosed())
+	g.Eventually(func() bool { return host.running() != nil }, reopenTimeout, "5ms").Should(BeTrue())
+	g.Consistently(func() bool { return host.Status().IsVoter }, "1s", "5ms").Should(BeFalse())
+	g.Expect(host.Status().UnavailableReason).To(ContainSubstring("was emptied"))
+}
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -39,6 +39,8 @@
 	publishing  sync.Mutex // of current
 	current     atomic.Pointer[opening]
 	joinMembers atomic.Pointer[[]replica.Member] // hosts to request admission from
+	// formerMember is whether the data folder of an earlier opening belonged to a cluster. Only Run uses it.
+	formerMember bool
 }
 
 // opening is an open replica with its handler and state machine, or none of them while the data
@@ -111,7 +113,7 @@
 // at closedAt.
 func (s *ReplicaSupervisor) runOnce(ctx context.Context, closedAt time.Time) (opened bool, err error) {
 	options := s.options
-	options.JoinMembers = *s.joinMembers.Load()
+	options.JoinMembers, options.FormerMember = *s.joinMembers.Load(), s.formerMember
 	var restored *document.StateMachine // by Open
 	options.NewStateMachine = func() replica.StateMachine {
 		machine := document.New()
@@ -161,6 +163,7 @@
 		s.publishing.Unlock()
 		cancel()
 		confirms.Wait()
+		s.formerMember = s.formerMember || r.BelongsToCluster()
 		s.setOpen(0)
 	}()
 	return true, r.Run(ctx)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -55,6 +55,9 @@
 	// InitialMembers are the hosts that form the cluster with Bootstrap, including this one. They are the same for
 	// all openings of a data folder, and have no meaning once it belongs to a cluster.
 	InitialMembers []Member
+	// FormerMember means that an earlier data folder of this host has belonged to a cluster: it takes no part in
+	// forming one. See Replica.BelongsToCluster.
+	FormerMember bool
 	// JoinMembers are the hosts that this one asks for admission to a cluster; see SetJoinMembers.
 	JoinMembers []Member
 	// Ephemeral marks a host without a disk, which follows and never votes.
@@ -155,6 +158,8 @@
 	clockStart time.Time       // time 0 of the node's clock
 	stopped    chan struct{}   // closed when Run has returned
 	started    atomic.Bool     // Run was called
+	// belongsToCluster is whether the synced data folder does.
+	belongsToCluster atomic.Bool
 
 	messages       *ring.Ring[[]consensus.Message]
 	proposals      *ring.Ring[*proposal]
@@ -248,7 +253,7 @@
 	}
 	identity := j.Identity()
 	config := consensus.Config{ID: o.ID, DiskID: identity.DiskID, RunNumber: identity.RunNumber, URL: o.SelfURL,
-		Bootstrap: o.Bootstrap, Ephemeral: o.Ephemeral, DisableLease: o.DisableLease,
+		Bootstrap: o.Bootstrap, FormerMember: o.FormerMember, Ephemeral: o.Ephemeral, DisableLease: o.DisableLease,
 		AdmitUnknownHosts: o.AdmitUnknownHosts, MinVoters: o.MinVoters, HeartbeatInterval: o.HeartbeatInterval,
 		ElectionTimeout: o.ElectionTimeout, Seed: identity.DiskID ^ identity.RunNumber,
 		InitialMembers: toConsensusMembers(o.InitialMembers), JoinMembers: toConsensusMembers(o.JoinMembers)}
@@ -269,6 +274,7 @@
 		digests:        newDigests(o.ID), appliedMembership: stored.Snapshot.Membership,
 		repairWanted: make(chan struct{}, 2),
 	}
+	r.belongsToCluster.Store(stored.HardState.ClusterID != 0)
 	r.joinMembers.Store(&o.JoinMembers)
 	if odd := o.Repairs.beginOpening(stored.Snapshot.Index); odd != nil {
 		o.Logger.Warn("stored copy of the state not used, it differs from the majority's", "id", o.ID, "snapshot", stored.Snapshot.Index,
@@ -292,6 +298,9 @@
 	return converted
 }
 
+// BelongsToCluster reports whether the data folder belongs to a cluster. What was not synced does not count.
+func (r *Replica) BelongsToCluster() bool { return r.belongsToCluster.Load() }
+
 func (r *Replica) Stats() *Stats { return &r.stats }
 
 // BytesRead returns how many bytes of the journal were read at the start.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -243,6 +243,8 @@
 		return ""
 	case len(nodeStatus.BootstrapBlockers) > 0:
 		return fmt.Sprintf("the cluster forms once hosts %v answer with empty data folders", nodeStatus.BootstrapBlockers)
+	case nodeStatus.ClusterID == 0 && r.options.FormerMember:
+		return "the data folder was emptied: waiting to be admitted as a learner by the cluster that it belonged to"
 	case nodeStatus.ClusterID == 0:
 		return "the data folder is empty: waiting to be admitted as a learner"
 	case !nodeStatus.IsRegistered:
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -69,7 +69,13 @@
 		return r.journal.WriteSnapshot(*job.snapshot, job.compactIndex)
 	}
 	r.stats.EntriesWritten.Add(uint64(len(job.batch.Entries)))
-	return r.journal.Write(job.batch)
+	if err := r.journal.Write(job.batch); err != nil {
+		return err
+	}
+	if job.batch.HardState != nil && job.batch.HardState.ClusterID != 0 {
+		r.belongsToCluster.Store(true)
+	}
+	return nil
 }
 
 // nodeLoop is the state of the goroutine that owns the consensus node.
