Tell a data folder that needs an operator apart from one whose disk failed

Callers: none saw it.

Cause: the supervisor treats every error of an opening alike.

The process goes on trying, so that a folder that was emptied needs no restart.

Test: TestErrorThatNeedsAnOperatorIsToldApart. The line and the gauge are new.

--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -26,6 +26,7 @@
 	"github.com/trefoilkeel/trefoilkeel/internal/document"
 	"github.com/trefoilkeel/trefoilkeel/internal/duty"
 	"github.com/trefoilkeel/trefoilkeel/internal/journal"
+	"github.com/trefoilkeel/trefoilkeel/internal/metrics"
 	"github.com/trefoilkeel/trefoilkeel/internal/origin"
 	"github.com/trefoilkeel/trefoilkeel/internal/replica"
 	"github.com/trefoilkeel/trefoilkeel/internal/rpc"
@@ -396,3 +397,28 @@
 	g.Consistently(func() bool { return host.Status().IsVoter }, "1s", "5ms").Should(BeFalse())
 	g.Expect(host.Status().UnavailableReason).To(ContainSubstring("was emptied"))
 }
+
+// Guards against an error that no retry mends and that looks like one of the disk: it is told apart, and does not fill the log.
+func TestErrorThatNeedsAnOperatorIsToldApart(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	other, _, err := journal.Open(folder, "c", 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(other.Close()).To(Succeed())
+	log := &logRecorder{}
+	registry := metrics.New()
+	s := NewReplicaSupervisor(replica.Options{ID: 1, ClusterName: "c", DataDir: folder, SelfURL: "http://127.0.0.1:1",
+		HTTPClient: rpc.Client(nil), Logger: log.logger(), Metrics: registry})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	g.Eventually(func() int64 { return registry.CounterValue(metrics.LogFailures) }, reopenTimeout, "5ms").Should(BeNumerically(">=", 3))
+	g.Expect(gaugeValue(g, registry, metrics.LogBlocked)).To(Equal(1.0))
+	g.Expect(log.with("data folder can't be opened until an operator acts")).To(HaveLen(1))
+	g.Expect(log.with("data folder failed, opening it again")).To(BeEmpty())
+
+	g.Expect(os.Remove(filepath.Join(folder, journal.FileName))).To(Succeed())
+	g.Eventually(func() float64 { return gaugeValue(g, registry, metrics.LogOpen) }, reopenTimeout, "5ms").Should(Equal(1.0))
+	g.Expect(gaugeValue(g, registry, metrics.LogBlocked)).To(Equal(0.0))
+}
--- a/internal/fleet/replica_supervisor.go
+++ b/internal/fleet/replica_supervisor.go
@@ -20,6 +20,9 @@
 	maxReopenDelay = time.Second
 )
 
+// blockedLogInterval is how often an error that lasts until an operator acts is logged again.
+const blockedLogInterval = time.Minute
+
 // Timing of the replicated log.
 const (
 	// electionTimeout is how long a leader may be silent: several times the slowest
@@ -73,6 +76,7 @@
 func (s *ReplicaSupervisor) Run(ctx context.Context) error {
 	delay := minReopenDelay
 	closedAt := time.Now()
+	var blocked blockedLog
 	for ctx.Err() == nil {
 		began := time.Now()
 		opened, err := s.runOnce(ctx, closedAt)
@@ -82,11 +86,19 @@
 		if opened {
 			closedAt = time.Now()
 		}
-		s.countFailure()
 		if time.Since(began) > maxReopenDelay {
 			delay = minReopenDelay
 		}
-		s.logger.Error("data folder failed, opening it again", "folder", s.options.DataDir, "error", err, "pause_ms", delay.Milliseconds())
+		s.countFailure()
+		if !opened && replica.NeedsOperator(err) {
+			s.setGauge(metrics.LogBlocked, 1)
+			if blocked.isDue(err, time.Now()) {
+				s.logger.Error("data folder can't be opened until an operator acts", "folder", s.options.DataDir, "error", err)
+			}
+		} else {
+			s.setGauge(metrics.LogBlocked, 0)
+			s.logger.Error("data folder failed, opening it again", "folder", s.options.DataDir, "error", err, "pause_ms", delay.Milliseconds())
+		}
 		if !wait.For(ctx, delay) {
 			return nil
 		}
@@ -102,11 +114,25 @@
 	}
 }
 
-// setOpen publishes whether the data folder is open.
-func (s *ReplicaSupervisor) setOpen(open int64) {
+func (s *ReplicaSupervisor) setGauge(name string, value int64) {
 	if s.options.Metrics != nil {
-		s.options.Metrics.SetGauge(metrics.LogOpen, open)
+		s.options.Metrics.SetGauge(name, value)
+	}
+}
+
+// blockedLog keeps an error that every opening returns from filling the log.
+type blockedLog struct {
+	message  string
+	loggedAt time.Time
+}
+
+// isDue reports whether an error is to be logged now, which it is if it is another one than the last or that was logged long ago.
+func (l *blockedLog) isDue(err error, now time.Time) bool {
+	if err.Error() == l.message && now.Sub(l.loggedAt) < blockedLogInterval {
+		return false
 	}
+	l.message, l.loggedAt = err.Error(), now
+	return true
 }
 
 // runOnce opens the replica and runs it until it fails. It reports whether the data folder was opened, which was closed
@@ -132,7 +158,8 @@
 		return false, err
 	}
 	s.logger.Info("data folder open", "folder", s.options.DataDir, "closed_ms", time.Since(closedAt).Milliseconds())
-	s.setOpen(1)
+	s.setGauge(metrics.LogBlocked, 0)
+	s.setGauge(metrics.LogOpen, 1)
 	_, handler := r.Handler()
 	ctx, cancel := context.WithCancel(ctx)
 	var confirms sync.WaitGroup
@@ -164,7 +191,7 @@
 		cancel()
 		confirms.Wait()
 		s.formerMember = s.formerMember || r.BelongsToCluster()
-		s.setOpen(0)
+		s.setGauge(metrics.LogOpen, 0)
 	}()
 	return true, r.Run(ctx)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -53,6 +53,7 @@
 	StateOdd          = "state.odd"          // gauge, 1 while this host does not act on its copy because it differs
 	StateDisputes     = "state.disputes"     // counter, indexes at which copies of the state differed and no majority agreed
 	LogOpen           = "log.open"           // gauge, 1 while the data folder of the log is open
+	LogBlocked        = "log.blocked"        // gauge, 1 while the data folder can't be opened until an operator acts
 	LogFailures       = "log.failures"       // counter, how often the data folder failed or could not be opened
 	LedgerEntries     = "ledger.entries"     // gauge, entries in the ledger
 	LedgerBytes       = "ledger.bytes"       // gauge, size of the ledger in bytes
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -128,6 +128,15 @@
 
 func (e *OptionsError) Error() string { return "replica option " + e.Field + ": " + e.Reason }
 
+// NeedsOperator reports whether an error of Open lasts until an operator changes the settings or the data folder.
+func NeedsOperator(err error) bool {
+	var options *OptionsError
+	var identity *journal.IdentityError
+	var corruptFile *journal.CorruptError
+	var corruptLog *consensus.CorruptLogError
+	return errors.As(err, &options) || errors.As(err, &identity) || errors.As(err, &corruptFile) || errors.As(err, &corruptLog)
+}
+
 func (o Options) validate() error {
 	switch {
 	case o.ID == 0:
