--- a/gen/trefoilkeel/v1/trefoilkeelv1connect/peer.connect.go
+++ b/gen/trefoilkeel/v1/trefoilkeelv1connect/peer.connect.go
@@ -35,6 +35,9 @@
 const (
 	// PeerServiceStepProcedure is the fully-qualified name of the PeerService's Step RPC.
 	PeerServiceStepProcedure = "/trefoilkeel.v1.PeerService/Step"
+	// PeerServiceSnapshotPartProcedure is the fully-qualified name of the PeerService's SnapshotPart
+	// RPC.
+	PeerServiceSnapshotPartProcedure = "/trefoilkeel.v1.PeerService/SnapshotPart"
 	// PeerServiceProposeProcedure is the fully-qualified name of the PeerService's Propose RPC.
 	PeerServiceProposeProcedure = "/trefoilkeel.v1.PeerService/Propose"
 	// PeerServiceChangeMemberProcedure is the fully-qualified name of the PeerService's ChangeMember
@@ -50,6 +53,9 @@
 type PeerServiceClient interface {
 	// Step delivers a batch of consensus messages.
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
+	// SnapshotPart delivers a part of the snapshot of a consensus message. The message counts as delivered
+	// once the receiver has all parts. It fails with FailedPrecondition if the receiver has no use for it.
+	SnapshotPart(context.Context, *connect.Request[v1.SnapshotPartRequest]) (*connect.Response[v1.SnapshotPartResponse], error)
 	// Propose forwards a command to the leader and returns once it is applied there. It
 	// fails on a follower.
 	Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error)
@@ -80,6 +86,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Step")),
 			connect.WithClientOptions(opts...),
 		),
+		snapshotPart: connect.NewClient[v1.SnapshotPartRequest, v1.SnapshotPartResponse](
+			httpClient,
+			baseURL+PeerServiceSnapshotPartProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("SnapshotPart")),
+			connect.WithClientOptions(opts...),
+		),
 		propose: connect.NewClient[v1.ProposeRequest, v1.ProposeResponse](
 			httpClient,
 			baseURL+PeerServiceProposeProcedure,
@@ -110,6 +122,7 @@
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	step         *connect.Client[v1.StepRequest, v1.StepResponse]
+	snapshotPart *connect.Client[v1.SnapshotPartRequest, v1.SnapshotPartResponse]
 	propose      *connect.Client[v1.ProposeRequest, v1.ProposeResponse]
 	changeMember *connect.Client[v1.ChangeMemberRequest, v1.ChangeMemberResponse]
 	confirm      *connect.Client[v1.ConfirmRequest, v1.ConfirmResponse]
@@ -121,6 +134,11 @@
 	return c.step.CallUnary(ctx, req)
 }
 
+// SnapshotPart calls trefoilkeel.v1.PeerService.SnapshotPart.
+func (c *peerServiceClient) SnapshotPart(ctx context.Context, req *connect.Request[v1.SnapshotPartRequest]) (*connect.Response[v1.SnapshotPartResponse], error) {
+	return c.snapshotPart.CallUnary(ctx, req)
+}
+
 // Propose calls trefoilkeel.v1.PeerService.Propose.
 func (c *peerServiceClient) Propose(ctx context.Context, req *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error) {
 	return c.propose.CallUnary(ctx, req)
@@ -145,6 +163,9 @@
 type PeerServiceHandler interface {
 	// Step delivers a batch of consensus messages.
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
+	// SnapshotPart delivers a part of the snapshot of a consensus message. The message counts as delivered
+	// once the receiver has all parts. It fails with FailedPrecondition if the receiver has no use for it.
+	SnapshotPart(context.Context, *connect.Request[v1.SnapshotPartRequest]) (*connect.Response[v1.SnapshotPartResponse], error)
 	// Propose forwards a command to the leader and returns once it is applied there. It
 	// fails on a follower.
 	Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error)
@@ -171,6 +192,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Step")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSnapshotPartHandler := connect.NewUnaryHandler(
+		PeerServiceSnapshotPartProcedure,
+		svc.SnapshotPart,
+		connect.WithSchema(peerServiceMethods.ByName("SnapshotPart")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceProposeHandler := connect.NewUnaryHandler(
 		PeerServiceProposeProcedure,
 		svc.Propose,
@@ -199,6 +226,8 @@
 		switch r.URL.Path {
 		case PeerServiceStepProcedure:
 			peerServiceStepHandler.ServeHTTP(w, r)
+		case PeerServiceSnapshotPartProcedure:
+			peerServiceSnapshotPartHandler.ServeHTTP(w, r)
 		case PeerServiceProposeProcedure:
 			peerServiceProposeHandler.ServeHTTP(w, r)
 		case PeerServiceChangeMemberProcedure:
@@ -220,6 +249,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.Step is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) SnapshotPart(context.Context, *connect.Request[v1.SnapshotPartRequest]) (*connect.Response[v1.SnapshotPartResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.SnapshotPart is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Propose(context.Context, *connect.Request[v1.ProposeRequest]) (*connect.Response[v1.ProposeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trefoilkeel.v1.PeerService.Propose is not implemented"))
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,6 +50,7 @@
 	StateDigests      = "state.digests"      // counter, digests taken of the own copy of the state
 	StateDifferences  = "state.differences"  // counter, hosts whose copy of the state differed from that of the majority, at one index each
 	StateRestores     = "state.restores"     // counter, how often the own copy was replaced by the majority's
+	SnapshotRetries   = "snapshot.retries"   // counter, parts of snapshots that another host did not acknowledge in time
 	StateOdd          = "state.odd"          // gauge, 1 while this host does not act on its copy because it differs
 	StateDisputes     = "state.disputes"     // counter, indexes at which copies of the state differed and no majority agreed
 	LogOpen           = "log.open"           // gauge, 1 while the data folder of the log is open
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -35,7 +35,6 @@
 	maxInputsPerFlush         = 1024    // inputs handled before output is sent
 	maxPeerMessageBytes       = 256 << 20
 	defaultStepTimeout        = 2 * time.Second
-	snapshotSendTimeout       = time.Minute
 	leaderWaitTimeout         = 3 * time.Second
 	retryInterval             = 20 * time.Millisecond
 	// strandedTimeout is how long after its end the proposals of a leadership wait for the next leader to commit them.
@@ -192,6 +191,7 @@
 	// appliedMembership is that of the applied entries.
 	appliedMembership consensus.Membership
 	clients           sync.Map // base URL to client
+	snapshotReceiver  snapshotReceiver
 
 	stats Stats
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -123,7 +123,7 @@
 		c.kill(wiped)
 		Expect(os.RemoveAll(c.hosts[wiped].dir)).To(Succeed())
 		c.start(wiped, true)
-		Eventually(c.hosts[wiped].machine.list, snapshotSendTimeout/2).Should(HaveLen(count))
+		Eventually(c.hosts[wiped].machine.list, closeBound).Should(HaveLen(count))
 	})
 
 	// Guards against a log of large commands that outgrows the disk.
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -106,6 +106,7 @@
 		case <-ticker.C:
 			l.updateJoinMembers()
 			l.node.Tick(l.now())
+			l.snapshotReceiver.dropStale(l.now(), l.nodeStatus.Load().Term)
 			l.failStranded()
 		case batch := <-l.messages.Chan():
 			l.handleMessages(batch)
--- a/internal/replica/suite_test.go
+++ b/internal/replica/suite_test.go
@@ -91,19 +91,21 @@
 
 // testHost is a control host on the loopback interface.
 type testHost struct {
-	id       uint64
-	dir      string
-	url      string
-	listener net.Listener
-	machine  *listMachine
-	replica  *Replica
-	stop     func()
-	disk     *fullDisk
-	ended    chan struct{} // closed once the replica has ended with err
-	err      error
-	stalls   atomic.Bool                  // leaves calls for its state and those of more than stalledBytes unread
-	stalled  atomic.Bool                  // it has
-	silent   atomic.Pointer[net.Listener] // a peer in the place of all others, see startSilentPeer
+	id         uint64
+	dir        string
+	url        string
+	listener   net.Listener
+	machine    *listMachine
+	replica    *Replica
+	stop       func()
+	disk       *fullDisk
+	ended      chan struct{} // closed once the replica has ended with err
+	err        error
+	stalls     atomic.Bool                  // leaves calls for its state and those of more than stalledBytes unread
+	stalled    atomic.Bool                  // it has
+	lacksParts atomic.Bool                  // serves no SnapshotPart, as builds before it
+	link       *link                        // over which it receives; nil for an ordinary one
+	silent     atomic.Pointer[net.Listener] // a peer in the place of all others, see startSilentPeer
 }
 
 // testCluster is a set of control hosts in this process.
@@ -196,8 +198,11 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
-	h.listener = &countedListener{Listener: listener, bytes: &c.connectionBytes}
 	h.url = "http://" + listener.Addr().String()
+	if h.link != nil {
+		listener = &linkListener{Listener: listener, link: h.link}
+	}
+	h.listener = &countedListener{Listener: listener, bytes: &c.connectionBytes}
 }
 
 func (c *testCluster) start(id uint64, bootstrap bool) {
@@ -228,10 +233,15 @@
 			<-r.Context().Done()
 			return
 		}
+		if h.lacksParts.Load() && r.URL.Path == trefoilkeelv1connect.PeerServiceSnapshotPartProcedure {
+			http.NotFound(w, r)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 	// Not rpc.Serve, since the server is closed without a graceful shutdown.
 	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -140,26 +140,6 @@
 	return nil
 }
 
-// runSnapshotSender sends snapshots to one host, concurrently with its other messages.
-func (r *Replica) runSnapshotSender(ctx context.Context, id uint64, queue *ring.Ring[consensus.Message]) error {
-	for {
-		m, err := queue.Take(ctx)
-		if err != nil {
-			return nil
-		}
-		snapshot, err := r.journal.ReadSnapshot()
-		if err != nil {
-			return err
-		}
-		m.Snapshot = &snapshot
-		sendCtx, cancel := context.WithTimeout(ctx, snapshotSendTimeout)
-		if err := r.sendStep(sendCtx, id, []consensus.Message{m}); err == nil {
-			r.logger.Info("snapshot sent", "to", id, "index", snapshot.Index, "bytes", len(snapshot.Data))
-		}
-		cancel()
-	}
-}
-
 // forwardProposal proposes a command to the leader.
 func (r *Replica) forwardProposal(ctx context.Context, url string, command []byte) ([]byte, error) {
 	response, err := r.client(url).Propose(ctx, connect.NewRequest(&pb.ProposeRequest{Command: command, Cluster: r.options.ClusterName}))
@@ -240,15 +220,23 @@
 	return connect.NewError(connect.CodePermissionDenied, &refusedError{reason: "this host is of another cluster"})
 }
 
-// Step receives messages from another host.
-func (s *peerService) Step(_ context.Context, req *connect.Request[pb.StepRequest]) (*connect.Response[pb.StepResponse], error) {
-	if err := s.checkCluster(req.Msg.Cluster); err != nil {
-		return nil, err
+// checkRequest refuses a request from a host of another cluster, or after the replica has stopped.
+func (s *peerService) checkRequest(cluster string) error {
+	if err := s.checkCluster(cluster); err != nil {
+		return err
 	}
 	select {
 	case <-s.stopped:
-		return nil, connect.NewError(connect.CodeFailedPrecondition, &refusedError{reason: "the replica stopped"})
+		return connect.NewError(connect.CodeFailedPrecondition, &refusedError{reason: "the replica stopped"})
 	default:
+		return nil
+	}
+}
+
+// Step receives messages from another host.
+func (s *peerService) Step(_ context.Context, req *connect.Request[pb.StepRequest]) (*connect.Response[pb.StepResponse], error) {
+	if err := s.checkRequest(req.Msg.Cluster); err != nil {
+		return nil, err
 	}
 	batch := make([]consensus.Message, 0, len(req.Msg.Messages))
 	for _, encoded := range req.Msg.Messages {
