End a call for a digest within the timeout of a step

A host that restores its copy of the state serves no configuration, and could wait 10 s on one silent connection for the digest that confirms the new copy, with no other host to ask for it.

Cause: the call for a digest had the timeout of the call for a whole state.

Change: it has that of a step, and the restore begins again 0.2 s later, on a new connection.

--- a/internal/replica/digests_test.go
+++ b/internal/replica/digests_test.go
@@ -407,6 +407,18 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a restore that waits for the digest of a voter for as long as for a whole state, where its connection
+	// has gone silent.
+	It("end a call for a digest within the timeout of a step", func() {
+		c, _ := newComparedCluster(GinkgoTB(), 3, nil)
+		c.waitForLeader()
+		c.hosts[1].stalls.Store(true)
+		began := time.Now()
+		_, err := c.hosts[3].replica.askState(context.Background(), 1, 16)
+		Expect(connect.CodeOf(err)).To(Equal(connect.CodeDeadlineExceeded))
+		Expect(time.Since(began)).To(BeNumerically("<", repairTimeout/2))
+	})
+
 	It("leave hosts of another build and of another format alone", func() {
 		c, logs := newComparedCluster(GinkgoTB(), 5, func(o *Options) {
 			inner := o.NewStateMachine
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -19,7 +19,7 @@
 
 const (
 	repairInterval = 200 * time.Millisecond
-	repairTimeout  = 10 * time.Second // of one call to another host
+	repairTimeout  = 10 * time.Second // of one call for the state of another host
 	repairAskDelay = time.Second      // until the next host is asked as well
 	// handOverTimeout limits how long an odd host waits until the others have its digest, before it steps down and is restored.
 	handOverTimeout = 500 * time.Millisecond
@@ -328,7 +328,11 @@
 	if url == "" {
 		return nil, &refusedError{reason: "its URL is not known"}
 	}
-	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	timeout := repairTimeout
+	if index != 0 { // a digest alone
+		timeout = r.options.StepTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := r.client(url).State(ctx, connect.NewRequest(&pb.StateRequest{Cluster: r.options.ClusterName, Index: index}))
 	if err != nil {
