--- a/internal/fleet/reopened_log_test.go
+++ b/internal/fleet/reopened_log_test.go
@@ -398,8 +398,8 @@
 	g.Expect(host.Status().UnavailableReason).To(ContainSubstring("was emptied"))
 }
 
-// Guards against an error that no retry mends and that looks like one of the disk: it is told apart, and does not fill the log.
-func TestErrorThatNeedsAnOperatorIsToldApart(t *testing.T) {
+// Guards against an error that lasts until an operator acts and that is reported as one of the disk, once a second.
+func TestErrorThatNeedsAnOperatorIsReportedAsSuch(t *testing.T) {
 	g := NewWithT(t)
 	folder := t.TempDir()
 	other, _, err := journal.Open(folder, "c", 2)
